Membership: news by id, hosts of the platform's list need no introduction

Cause: each item of news carried name, zone and address, so six filled a heartbeat and a backlog after a zone cut outlived the suspicions it told of. Ruled out: the suspicion times, since a single death without a backlog spread in time. Change: known hosts are told by id, life, refutation and state (24 a heartbeat); only hosts that others may not know are introduced in full; the platform's list is not gossiped.

--- /dev/null
+++ b/bench/fleet.cpp
@@ -0,0 +1,150 @@
+// 2,900 hosts in one process: control traffic, processor time, memory, and how fast a change is in
+// force everywhere, also with loss, a zone cut off and a store outage.
+#include "bench/report.h"
+#include "bench/virtual/virtualfleet.h"
+
+#include <ctime>
+#include <fstream>
+#include <iostream>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+ABSL_FLAG(std::uint64_t, seed, 1, "seed");
+ABSL_FLAG(std::uint32_t, hosts, 2900, "hosts of the fleet");
+
+namespace quetzal {
+
+namespace {
+
+// The targets at the size of two years from now.
+constexpr double inForceSeconds = 19;
+constexpr double bytesPerSecond = 13'000;
+constexpr double coreShare = 0.026;
+constexpr double memoryBytes = 256e6;
+constexpr double changesPerDay = 7600;
+constexpr double secondsPerDay = 86'400;
+// The platform's service answers about this many reads a second.
+constexpr double storeReadsPerSecond = 2000;
+
+double processorSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+// Runs until all hosts that are up are current, or a limit. Returns the seconds it took.
+double secondsUntilCurrent(VirtualFleet &fleet, Millis limit)
+{
+    const Millis begin = fleet.time().now();
+    const Millis step(100);
+    while (fleet.hostsCurrent() < fleet.hostsUp() && fleet.time().now() - begin < limit)
+        fleet.runUntil(fleet.time().now() + step);
+    return (fleet.time().now() - begin).count() / 1000;
+}
+
+FleetSetup setupOf()
+{
+    FleetSetup setup;
+    setup.hosts = absl::GetFlag(FLAGS_hosts);
+    setup.seed = absl::GetFlag(FLAGS_seed);
+    return setup;
+}
+
+void steadyState(Report &report, VirtualFleet &fleet)
+{
+    report.atMost("fleet/start/current", secondsUntilCurrent(fleet, Millis(60'000)), "s",
+                  inForceSeconds);
+    fleet.runUntil(fleet.time().now() + Millis(30'000));
+    const double bytesBefore = fleet.controlBytes();
+    const double callsBefore = static_cast<double>(fleet.storeCalls());
+    const double processorBefore = processorSeconds();
+    // Changes at three times the day's mean rate, for a minute.
+    static constexpr double spanSeconds = 60;
+    const double changes = 3 * changesPerDay / secondsPerDay * spanSeconds;
+    for (int i = 0; i < static_cast<int>(changes); ++i)
+        fleet.time().after(Millis(i * spanSeconds * 1000 / changes), [&fleet] { fleet.edit(); });
+    fleet.runUntil(fleet.time().now() + Millis(spanSeconds * 1000));
+    const double hosts = fleet.hostsUp();
+    const double perHost = (fleet.controlBytes() - bytesBefore) / spanSeconds / hosts;
+    const double core = (processorSeconds() - processorBefore) / spanSeconds / hosts;
+    report.atMost("fleet/steady/control-bytes", perHost, "B/s", bytesPerSecond);
+    report.atMost("fleet/steady/core-share", core, "of-a-core", coreShare);
+    report.atMost("fleet/steady/membership-state", static_cast<double>(fleet.stateBytes(0)),
+                  "bytes", memoryBytes);
+    report.atMost("fleet/steady/store-calls",
+                  (static_cast<double>(fleet.storeCalls()) - callsBefore) / spanSeconds, "calls/s",
+                  storeReadsPerSecond);
+}
+
+void changeInForce(Report &report, VirtualFleet &fleet)
+{
+    const double callsBefore = static_cast<double>(fleet.storeCalls());
+    fleet.edit();
+    report.atMost("fleet/change/in-force", secondsUntilCurrent(fleet, Millis(60'000)), "s",
+                  inForceSeconds);
+    report.figure("fleet/change/store-calls", static_cast<double>(fleet.storeCalls()) - callsBefore,
+                  "calls");
+}
+
+void zoneCut(Report &report, VirtualFleet &fleet)
+{
+    fleet.setZoneCut(3, true);
+    fleet.runUntil(fleet.time().now() + Millis(20'000));
+    fleet.edit();
+    fleet.runUntil(fleet.time().now() + Millis(20'000));
+    fleet.setZoneCut(3, false);
+    report.atMost("fleet/zone-cut/in-force-after-healing",
+                  secondsUntilCurrent(fleet, Millis(120'000)), "s", inForceSeconds);
+    fleet.runUntil(fleet.time().now() + Millis(15'000));
+    const std::uint32_t inZone = 3;
+    const double share = static_cast<double>(fleet.aliveSeenBy(inZone))
+                         / static_cast<double>(fleet.hostsUp() - 1);
+    report.figure("fleet/zone-cut/alive-seen-15s-after-healing", share, "fraction");
+}
+
+void storeOutage(Report &report, VirtualFleet &fleet)
+{
+    fleet.setStoreUp(false);
+    const double callsBefore = static_cast<double>(fleet.storeCalls());
+    static constexpr double outageSeconds = 60;
+    fleet.runUntil(fleet.time().now() + Millis(outageSeconds * 1000));
+    report.atMost("fleet/outage/store-calls",
+                  (static_cast<double>(fleet.storeCalls()) - callsBefore) / outageSeconds,
+                  "calls/s", storeReadsPerSecond);
+    fleet.edit();
+    fleet.setStoreUp(true);
+    report.atMost("fleet/outage/current-after-return", secondsUntilCurrent(fleet, Millis(60'000)),
+                  "s", 5);
+}
+
+void hostFailures(Report &report, VirtualFleet &fleet)
+{
+    const std::uint32_t dead = 77;
+    fleet.killHost(dead);
+    const Millis begin = fleet.time().now();
+    while (fleet.believersOfDeath(dead) < fleet.hostsUp()
+           && fleet.time().now() - begin < Millis(60'000))
+        fleet.runUntil(fleet.time().now() + Millis(200));
+    report.figure("fleet/death/known-everywhere", (fleet.time().now() - begin).count() / 1000, "s");
+    fleet.startHost(dead);
+    report.atMost("fleet/death/restarted-current", secondsUntilCurrent(fleet, Millis(60'000)), "s",
+                  inForceSeconds);
+    report.atMost("fleet/steps-back", static_cast<double>(fleet.stepsBack()), "steps", 0);
+}
+
+} // namespace
+
+} // namespace quetzal
+
+int main(int argc, char **argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    quetzal::Report report;
+    quetzal::VirtualFleet fleet(quetzal::setupOf());
+    quetzal::steadyState(report, fleet);
+    quetzal::changeInForce(report, fleet);
+    quetzal::zoneCut(report, fleet);
+    quetzal::storeOutage(report, fleet);
+    quetzal::hostFailures(report, fleet);
+    return report.print();
+}
--- /dev/null
+++ b/bench/request.cpp
@@ -0,0 +1,203 @@
+// The request path: nanoseconds and allocations per sub-request, each beside its baseline.
+#include "bench/report.h"
+#include "bench/timing.h"
+#include "request/callerrequest.h"
+#include "request/hitjson.h"
+#include "request/merge.h"
+#include "request/poolstate.h"
+#include "request/query.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cstdlib>
+#include <map>
+#include <new>
+
+#include <Poco/JSON/Parser.h>
+#include <absl/flags/parse.h>
+
+static std::atomic<std::uint64_t> allocations = 0;
+
+void *operator new(std::size_t size)
+{
+    allocations.fetch_add(1, std::memory_order_relaxed);
+    void *memory = std::malloc(size);
+    if (memory == nullptr)
+        throw std::bad_alloc();
+    return memory;
+}
+
+void operator delete(void *memory) noexcept
+{
+    std::free(memory);
+}
+
+void operator delete(void *memory, std::size_t) noexcept
+{
+    std::free(memory);
+}
+
+namespace quetzal {
+
+namespace {
+
+constexpr std::array<std::uint32_t, 3> shardCounts = { 20, 200, 1800 };
+// The core's time for one sub-request at 1,800 shards must leave an entry room for its sockets.
+constexpr double mostNanosPerSubRequest = 5000;
+
+template <typename Action>
+double allocationsPer(std::size_t count, Action &&action)
+{
+    const std::uint64_t before = allocations;
+    for (std::size_t i = 0; i < count; ++i)
+        action();
+    return static_cast<double>(allocations - before) / static_cast<double>(count);
+}
+
+// Adds time and allocations of one action, each divided by its parts.
+template <typename Action>
+double addCost(Report &report, const std::string &name, std::size_t count, double parts,
+               Action &&action)
+{
+    const double nanos = nanosPer(count, action) / parts;
+    report.figure(name + "/time", nanos, "ns");
+    report.figure(name + "/allocations", allocationsPer(count, action) / parts, "allocations");
+    return nanos;
+}
+
+std::vector<std::vector<Hit>> hitsOf(std::uint32_t shards)
+{
+    std::mt19937_64 random(1);
+    std::vector<std::vector<Hit>> lists(shards);
+    for (std::vector<Hit> &list : lists) {
+        for (int i = 0; i < 10; ++i)
+            list.push_back({ "item-" + std::to_string(random() % 1'000'000),
+                             static_cast<double>(random() % 1000) });
+        std::sort(list.begin(), list.end(), ranksBefore);
+    }
+    return lists;
+}
+
+void mergeCosts(Report &report)
+{
+    for (const std::uint32_t shards : shardCounts) {
+        const auto lists = hitsOf(shards);
+        const std::string prefix = "merge/" + std::to_string(shards);
+        const double ours = addCost(report, prefix + "/ours", 40'000 / shards, shards, [&] {
+            auto copy = lists;
+            keep(mergeHits(std::move(copy), 10));
+        });
+        const double baseline = addCost(report, prefix + "/sort-all", 40'000 / shards, shards, [&] {
+            std::vector<Hit> all;
+            for (const std::vector<Hit> &list : lists)
+                all.insert(all.end(), list.begin(), list.end());
+            std::sort(all.begin(), all.end(), ranksBefore);
+            all.resize(10);
+            keep(all);
+        });
+        report.atMost(prefix + "/ratio", ours / baseline, "ratio", 1);
+    }
+}
+
+void queryCosts(Report &report)
+{
+    for (const std::uint32_t shards : shardCounts) {
+        PoolState pool(1, PolicyOptions());
+        std::vector<SearcherId> ids;
+        for (std::uint32_t i = 0; i < shards * 2; ++i)
+            ids.push_back({ i + 1 });
+        pool.book.setMembers(ids);
+        for (std::uint32_t i = 0; i < shards * 2; ++i)
+            pool.book.report(ids[i], { { { 1 }, shards, i / 2, 100 } });
+        Millis now(0);
+        std::uint64_t number = 0;
+        const auto run = [&] {
+            now += Millis(50);
+            QueryPlan plan;
+            plan.id = { ++number };
+            plan.deadline = now + Millis(300);
+            plan.target = plan.deadline;
+            Query query(plan, pool);
+            QueryActions actions;
+            query.start(now, actions);
+            const std::vector<Attempt> sent = std::move(actions.send);
+            actions.send.clear();
+            for (const Attempt &attempt : sent) {
+                AttemptResult result;
+                result.id = attempt.id;
+                result.outcome = { Verdict::Ran, {}, Hop::Searcher };
+                result.answer.version = attempt.version;
+                result.answer.shard = attempt.shard;
+                result.answer.documents = 100;
+                query.onResult(now + Millis(10), result, actions);
+            }
+            keep(actions);
+        };
+        const std::string prefix = "query/" + std::to_string(shards);
+        const double ours = addCost(report, prefix + "/ours", 20'000 / shards, shards, run);
+        std::mt19937_64 random(1);
+        addCost(report, prefix + "/random-replica", 20'000 / shards, shards, [&] {
+            // No policy at all: a random replica for each shard and a map of the open ones.
+            std::map<std::uint32_t, SearcherId> open;
+            for (std::uint32_t shard = 0; shard < shards; ++shard)
+                open[shard] = ids[shard * 2 + random() % 2];
+            for (std::uint32_t shard = 0; shard < shards; ++shard)
+                open.erase(shard);
+            keep(open);
+        });
+        report.atMost(prefix + "/bound", ours, "ns", mostNanosPerSubRequest);
+    }
+}
+
+void chooseCosts(Report &report)
+{
+    ReplicaChooser chooser(1, ChooserOptions());
+    const std::array<SearcherId, 2> replicas = { SearcherId{ 1 }, SearcherId{ 2 } };
+    for (const SearcherId id : replicas)
+        chooser.setSearcher(id, 2, Millis(0), Millis(-1e6));
+    addCost(report, "choose/ours", 100'000, 1,
+            [&] { keep(chooser.choose(replicas, {}, Millis(1))); });
+    std::mt19937_64 random(1);
+    addCost(report, "choose/random", 100'000, 1, [&] { keep(replicas[random() % 2]); });
+}
+
+void parseCosts(Report &report)
+{
+    std::string reply = R"({"version":1,"partitions":20,"shard":3,"documents":5000,"hits":[)";
+    for (int i = 0; i < 10; ++i)
+        reply += (i > 0 ? "," : "") + std::string(R"({"id":"item-)") + std::to_string(i)
+                 + R"(","score":0.5})";
+    reply += "]}";
+    addCost(report, "parse-reply/ours", 5000, 1, [&] { keep(parseSearchReply(reply)); });
+    addCost(report, "parse-reply/json-only", 5000, 1, [&] {
+        Poco::JSON::Parser parser;
+        keep(parser.parse(reply));
+    });
+    Tables tables;
+    Route route;
+    route.name = "shopfront";
+    route.pathPrefix = "/shopfront/search";
+    route.deadline = Millis(320);
+    tables.routes.push_back(route);
+    HttpRequest request;
+    request.head.setMethod("GET");
+    request.head.setURI("/shopfront/search?q=titanium+ring&limit=10");
+    addCost(report, "route/ours", 5000, 1, [&] { keep(checkRequest(request, tables, "id")); });
+    addCost(report, "route/match-only", 5000, 1,
+            [&] { keep(tables.match("GET", "/shopfront/search", "")); });
+}
+
+} // namespace
+
+} // namespace quetzal
+
+int main(int argc, char **argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    quetzal::Report report;
+    quetzal::parseCosts(report);
+    quetzal::chooseCosts(report);
+    quetzal::mergeCosts(report);
+    quetzal::queryCosts(report);
+    return report.print();
+}
--- /dev/null
+++ b/bench/timing.h
@@ -0,0 +1,35 @@
+// Timing and allocation counting for benches.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace quetzal {
+
+// Returns the nanoseconds that one of count repetitions takes, the fastest of several rounds.
+template <typename Action>
+double nanosPer(std::size_t count, Action &&action)
+{
+    static constexpr int rounds = 5;
+    double best = 1e18;
+    for (int round = 0; round < rounds; ++round) {
+        const auto begin = std::chrono::steady_clock::now();
+        for (std::size_t i = 0; i < count; ++i)
+            action();
+        const std::chrono::duration<double, std::nano> took
+                = std::chrono::steady_clock::now() - begin;
+        const double each = took.count() / static_cast<double>(count);
+        best = each < best ? each : best;
+    }
+    return best;
+}
+
+// Keeps a value from being optimized away.
+template <typename Value>
+void keep(const Value &value)
+{
+    asm volatile("" : : "g"(&value) : "memory");
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/bench/virtual/virtualfleet.cpp
@@ -0,0 +1,373 @@
+#include "bench/virtual/virtualfleet.h"
+
+#include "connection/frame.h"
+#include "connection/messages.h"
+
+#include <algorithm>
+
+namespace quetzal {
+
+// A reliable message that was lost arrives after one retransmission.
+static constexpr Millis retransmitDelay = Millis(40);
+static constexpr std::size_t channelOverhead = KeyRing::overhead + 65;
+
+struct VirtualFleet::Host
+{
+    Host(const MemberInfo &info, std::uint64_t seed)
+        : membership(info, MembershipTimes(), seed)
+        , sync(SyncTimes(), seed + 1)
+    {}
+
+    Membership membership;
+    TableSync sync;
+    Revision inForce;
+    Millis tablesTimer = Millis::never();
+};
+
+VirtualFleet::VirtualFleet(const FleetSetup &setup)
+    : setup(setup)
+    , random(setup.seed)
+{
+    this->zoneCut.assign(setup.zones, false);
+    this->lives.assign(setup.hosts, 0);
+    for (std::uint32_t i = 0; i < setup.hosts; ++i) {
+        MemberInfo info;
+        info.name = "host-" + std::to_string(i);
+        info.id = { stableHash(info.name) };
+        info.zone = "zone-" + std::to_string(this->zoneOf(i));
+        info.address = "10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250) + ":8082";
+        this->numbers[info.id] = i;
+        this->infos.push_back(info);
+    }
+    this->hosts.resize(setup.hosts);
+    this->edit();
+    for (std::uint32_t i = 0; i < setup.hosts; ++i)
+        this->startHost(i);
+}
+
+VirtualFleet::~VirtualFleet() = default;
+
+double VirtualFleet::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
+}
+
+void VirtualFleet::startHost(std::uint32_t number)
+{
+    MemberInfo info = this->infos[number];
+    const std::uint64_t life = ++this->lives[number];
+    info.incarnation = { life };
+    this->hosts[number] = std::make_unique<Host>(info, this->random());
+    Host &host = *this->hosts[number];
+    host.membership.addSeeds(this->infos, this->clock.now());
+    host.sync.setWatcher(number / this->setup.zones < this->setup.watchersPerZone);
+    // Hosts of a fleet do not start in the same instant.
+    const Millis start = this->clock.now() + Millis(this->draw() * 1000);
+    this->clock.at(start, [this, number, life] {
+        this->tickMembership(number, life);
+        this->tickTables(number, life);
+    });
+}
+
+void VirtualFleet::killHost(std::uint32_t number)
+{
+    this->lives[number] += 1;
+    this->hosts[number].reset();
+}
+
+bool VirtualFleet::separated(std::uint32_t a, std::uint32_t b) const
+{
+    return this->zoneOf(a) != this->zoneOf(b)
+           && (this->zoneCut[this->zoneOf(a)] || this->zoneCut[this->zoneOf(b)]);
+}
+
+void VirtualFleet::carry(std::uint32_t from, std::uint32_t to, std::size_t size, bool reliable,
+                         VirtualTime::Event event)
+{
+    this->bytes += static_cast<double>(size);
+    if (this->separated(from, to))
+        return;
+    const bool lost = this->draw() < this->setup.loss;
+    if (lost && !reliable)
+        return;
+    const bool near = this->zoneOf(from) == this->zoneOf(to);
+    Millis delay = near ? this->setup.nearDelay : this->setup.farDelay;
+    if (lost)
+        delay += retransmitDelay;
+    const std::uint64_t life = this->lives[to];
+    this->clock.after(delay, [this, to, life, event = std::move(event)] {
+        if (this->lives[to] == life && this->hosts[to])
+            event();
+    });
+}
+
+void VirtualFleet::send(std::uint32_t from, std::vector<OutgoingHeartbeat> &out)
+{
+    for (OutgoingHeartbeat &outgoing : out) {
+        const std::uint32_t to = this->numbers.at(outgoing.to);
+        const std::size_t size = encode(outgoing.heartbeat).size() + KeyRing::overhead;
+        this->carry(from, to, size, false, [this, to, heartbeat = std::move(outgoing.heartbeat)] {
+            Host &host = *this->hosts[to];
+            std::vector<OutgoingHeartbeat> answers;
+            host.membership.onHeartbeat(heartbeat, this->clock.now(), answers);
+            this->send(to, answers);
+            SyncActions actions;
+            host.sync.onPeerRevision(heartbeat.sender.id, heartbeat.sender.revision,
+                                     this->clock.now(), actions);
+            this->perform(to, actions);
+        });
+    }
+    out.clear();
+}
+
+void VirtualFleet::tickMembership(std::uint32_t number, std::uint64_t life)
+{
+    if (this->lives[number] != life || !this->hosts[number])
+        return;
+    Host &host = *this->hosts[number];
+    std::vector<OutgoingHeartbeat> out;
+    host.membership.onTimer(this->clock.now(), out);
+    this->send(number, out);
+    this->clock.at(host.membership.nextTimer(),
+                   [this, number, life] { this->tickMembership(number, life); });
+}
+
+void VirtualFleet::tickTables(std::uint32_t number, std::uint64_t life)
+{
+    if (this->lives[number] != life || !this->hosts[number])
+        return;
+    Host &host = *this->hosts[number];
+    host.tablesTimer = Millis::never();
+    SyncActions actions;
+    host.sync.onTimer(this->clock.now(), actions);
+    this->perform(number, actions);
+}
+
+void VirtualFleet::armTables(std::uint32_t number)
+{
+    Host &host = *this->hosts[number];
+    const Millis next = host.sync.nextTimer();
+    if (next == host.tablesTimer)
+        return;
+    host.tablesTimer = next;
+    const std::uint64_t life = this->lives[number];
+    this->clock.at(next, [this, number, life, next] {
+        const bool current = this->lives[number] == life && this->hosts[number]
+                             && this->hosts[number]->tablesTimer == next;
+        if (current)
+            this->tickTables(number, life);
+    });
+}
+
+void VirtualFleet::perform(std::uint32_t number, const SyncActions &actions)
+{
+    for (const SyncAction &action : actions) {
+        Host &host = *this->hosts[number];
+        switch (action.kind) {
+        case SyncActionKind::AskPeerManifest:
+        case SyncActionKind::AskPeerChunks: {
+            const std::uint32_t peer = this->numbers.at(action.peer);
+            const bool manifest = action.kind == SyncActionKind::AskPeerManifest;
+            const std::size_t size = channelOverhead + 16 + action.chunks.size() * 40;
+            this->carry(number, peer, size, true,
+                        [this, number, peer, manifest, chunks = action.chunks] {
+                            const TableSync &source = this->hosts[peer]->sync;
+                            TableTell tell;
+                            if (manifest)
+                                tell.manifest = source.manifestBytes();
+                            for (const std::string &hash : chunks) {
+                                if (auto bytes = source.chunk(hash))
+                                    tell.chunks.push_back({ hash, std::move(*bytes) });
+                            }
+                            this->carry(peer, number, channelOverhead + encode(tell).size(), true,
+                                        [this, number, peer, tell] {
+                                            SyncActions next;
+                                            TableSync &sync = this->hosts[number]->sync;
+                                            const Millis now = this->clock.now();
+                                            if (!tell.manifest.empty())
+                                                sync.onManifest(this->infos[peer].id, tell.manifest,
+                                                                now, next);
+                                            for (const NamedChunk &chunk : tell.chunks)
+                                                sync.onChunk(chunk.hash, chunk.bytes, now, next);
+                                            this->perform(number, next);
+                                        });
+                        });
+            break;
+        }
+        case SyncActionKind::ReadManifest:
+        case SyncActionKind::WatchManifest:
+            this->callStore(number, action);
+            break;
+        case SyncActionKind::ReadChunk: {
+            this->calls += 1;
+            const std::string hash = action.chunks.front();
+            const std::uint64_t life = this->lives[number];
+            const bool reached = this->storeUp && !this->zoneCut[this->zoneOf(number)];
+            if (!reached || !this->storeChunks.contains(hash))
+                break;
+            this->clock.after(this->setup.farDelay, [this, number, life, hash] {
+                if (this->lives[number] != life || !this->hosts[number])
+                    return;
+                SyncActions next;
+                this->hosts[number]->sync.onChunk(hash, this->storeChunks[hash], this->clock.now(),
+                                                  next);
+                this->perform(number, next);
+            });
+            break;
+        }
+        case SyncActionKind::Publish: {
+            if (action.tables->revision < host.inForce)
+                this->backSteps += 1;
+            host.inForce = action.tables->revision;
+            host.membership.setRevision(host.inForce);
+            std::vector<MemberInfo> others = host.membership.others();
+            std::vector<OutgoingHeartbeat> out;
+            static constexpr std::size_t toldAtOnce = 3;
+            for (std::size_t i = 0; i < toldAtOnce && !others.empty(); ++i)
+                host.membership.pingNow(others[this->random() % others.size()].id,
+                                        this->clock.now(), out);
+            this->send(number, out);
+            break;
+        }
+        }
+    }
+    this->armTables(number);
+}
+
+void VirtualFleet::callStore(std::uint32_t number, const SyncAction &action)
+{
+    this->calls += 1;
+    const std::uint64_t life = this->lives[number];
+    const bool reached = this->storeUp && !this->zoneCut[this->zoneOf(number)];
+    if (!reached) {
+        this->clock.after(SyncTimes().patience,
+                          [this, number, life] { this->answerStore(number, life, false); });
+        return;
+    }
+    const bool waits = action.kind == SyncActionKind::WatchManifest
+                       && action.storeVersion == this->storeVersion;
+    if (!waits) {
+        this->clock.after(this->setup.farDelay,
+                          [this, number, life] { this->answerStore(number, life, true); });
+        return;
+    }
+    this->watches.push_back({ number, life });
+    this->clock.after(SyncTimes().watch, [this, number, life] {
+        const auto open
+                = std::find_if(this->watches.begin(), this->watches.end(),
+                               [&](const Watch &w) { return w.host == number && w.life == life; });
+        if (open == this->watches.end())
+            return;
+        this->watches.erase(open);
+        this->answerStore(number, life, this->storeUp);
+    });
+}
+
+void VirtualFleet::answerStore(std::uint32_t number, std::uint64_t life, bool reached)
+{
+    if (this->lives[number] != life || !this->hosts[number])
+        return;
+    const bool reaches = reached && !this->zoneCut[this->zoneOf(number)];
+    SyncActions actions;
+    this->hosts[number]->sync.onStoreManifest(reaches, this->storeVersion,
+                                              reaches ? this->manifestBytes : std::string(),
+                                              this->clock.now(), actions);
+    this->perform(number, actions);
+}
+
+void VirtualFleet::wakeWatches()
+{
+    const std::vector<Watch> woken = std::move(this->watches);
+    this->watches.clear();
+    for (const Watch &watch : woken) {
+        this->clock.after(this->setup.farDelay, [this, watch] {
+            this->answerStore(watch.host, watch.life, this->storeUp);
+        });
+    }
+}
+
+void VirtualFleet::edit()
+{
+    this->revision.value += 1;
+    this->storeVersion += 1;
+    TableFiles files;
+    files.zones.push_back("zone-0");
+    Pool pool;
+    pool.name = "catalogue";
+    for (std::uint32_t i = 0; i < this->setup.searchers; ++i) {
+        Searcher searcher;
+        searcher.pool = pool.name;
+        searcher.address
+                = "10.1." + std::to_string(i / 250) + "." + std::to_string(i % 250) + ":9000";
+        searcher.zone = "zone-0";
+        // The edit changes one entry.
+        searcher.slots = i == 0 ? static_cast<std::uint32_t>(this->revision.value) : 2;
+        pool.searchers.push_back(searcher);
+    }
+    files.pools.push_back(pool);
+    Manifest manifest;
+    manifest.revision = this->revision;
+    manifest.changeId = this->random() | 1;
+    manifest.zones = files.zones;
+    const ChunkMap split = splitTables(files);
+    for (const auto &[hash, chunk] : split) {
+        manifest.chunks.push_back(hash);
+        this->storeChunks[hash] = chunk;
+    }
+    this->manifestBytes = encode(manifest);
+    this->wakeWatches();
+}
+
+void VirtualFleet::setStoreUp(bool up)
+{
+    this->storeUp = up;
+    if (!up)
+        this->wakeWatches();
+}
+
+void VirtualFleet::setZoneCut(std::uint32_t zone, bool cut)
+{
+    this->zoneCut[zone] = cut;
+}
+
+std::uint32_t VirtualFleet::hostsCurrent() const
+{
+    std::uint32_t count = 0;
+    for (const auto &host : this->hosts)
+        count += host && host->inForce == this->revision ? 1 : 0;
+    return count;
+}
+
+std::uint32_t VirtualFleet::hostsUp() const
+{
+    return static_cast<std::uint32_t>(
+            std::count_if(this->hosts.begin(), this->hosts.end(),
+                          [](const auto &host) { return host != nullptr; }));
+}
+
+std::size_t VirtualFleet::stateBytes(std::uint32_t host) const
+{
+    return this->hosts[host]->membership.stateBytes();
+}
+
+std::uint32_t VirtualFleet::believersOfDeath(std::uint32_t dead) const
+{
+    std::uint32_t count = 0;
+    for (const auto &host : this->hosts) {
+        if (!host)
+            continue;
+        const MemberInfo *seen = host->membership.find(this->infos[dead].id);
+        count += seen == nullptr || seen->state == MemberState::Dead ? 1 : 0;
+    }
+    return count;
+}
+
+std::uint32_t VirtualFleet::aliveSeenBy(std::uint32_t host) const
+{
+    std::uint32_t count = 0;
+    for (const MemberInfo &member : this->hosts[host]->membership.others())
+        count += member.state == MemberState::Alive ? 1 : 0;
+    return count;
+}
+
+} // namespace quetzal
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -6,7 +6,8 @@
 
 namespace quetzal {
 
-static constexpr std::size_t newsPerHeartbeat = 6;
+static constexpr std::size_t newsPerHeartbeat = 24;
+static constexpr std::size_t introductionsPerHeartbeat = 3;
 static constexpr std::size_t indirectPings = 2;
 // A flap within this time of the last one counts as flapping.
 static constexpr Millis flapWindow = Millis(60'000);
@@ -22,9 +23,14 @@
 {}
 
 // Orders what is said about one host: later life, later refutation, worse state.
-static auto precedence(const MemberInfo &info)
+static auto precedence(const MemberNews &news)
 {
-    return std::tuple(info.incarnation, info.refutation, info.state);
+    return std::tuple(news.incarnation, news.refutation, news.state);
+}
+
+static MemberNews newsOf(const MemberInfo &info)
+{
+    return { info.id, info.incarnation, info.refutation, info.state };
 }
 
 static bool serves(MemberState state)
@@ -36,7 +42,7 @@
 int Membership::newsRepeats() const
 {
     // Enough for an epidemic to reach all hosts with high probability.
-    return 3 + 2 * static_cast<int>(std::log2(2.0 + static_cast<double>(this->members.size())));
+    return 3 + static_cast<int>(std::log2(2.0 + static_cast<double>(this->members.size())));
 }
 
 void Membership::announce(Member &member)
@@ -70,51 +76,65 @@
     this->announce(member);
 }
 
-void Membership::applyAboutSelf(const MemberInfo &info)
+void Membership::applyAboutSelf(const MemberNews &news)
 {
-    const bool contradicts = info.incarnation == this->self.incarnation
-                             && info.state > this->self.state
-                             && info.refutation >= this->self.refutation;
+    const bool contradicts = news.incarnation == this->self.incarnation
+                             && news.state > this->self.state
+                             && news.refutation >= this->self.refutation;
     if (contradicts)
-        this->self.refutation = info.refutation + 1;
+        this->self.refutation = news.refutation + 1;
 }
 
-void Membership::apply(const MemberInfo &info, Millis now)
+bool Membership::supersede(Member &member, const MemberNews &news, Millis now)
+{
+    if (precedence(news) <= precedence(newsOf(member.info)))
+        return false;
+    if (news.incarnation > member.info.incarnation)
+        this->changes += 1;
+    member.info.incarnation = news.incarnation;
+    member.info.refutation = news.refutation;
+    this->setState(member, news.state, now);
+    return true;
+}
+
+void Membership::applyNews(const MemberNews &news, Millis now)
 {
-    if (info.id == this->self.id) {
-        this->applyAboutSelf(info);
+    if (news.id == this->self.id) {
+        this->applyAboutSelf(news);
         return;
     }
-    auto found = this->members.find(info.id);
-    if (found == this->members.end()) {
-        if (info.state == MemberState::Dead)
-            return;
-        Member member;
-        member.info = info;
-        member.since = now;
-        found = this->members.emplace(info.id, member).first;
-        this->rotation.push_back(info.id);
-        this->changes += 1;
-        this->announce(found->second);
+    // A host that is not known yet is introduced by another heartbeat, or by the platform's list.
+    const auto found = this->members.find(news.id);
+    if (found != this->members.end())
+        this->supersede(found->second, news, now);
+}
+
+void Membership::apply(const MemberInfo &info, Millis now)
+{
+    const auto found = this->members.find(info.id);
+    if (info.id == this->self.id || found != this->members.end()) {
+        // The platform's list says how this host reaches the other; gossip does not.
+        this->applyNews(newsOf(info), now);
+        if (found != this->members.end())
+            found->second.info.revision = std::max(found->second.info.revision, info.revision);
         return;
     }
-    Member &member = found->second;
-    member.info.revision = std::max(member.info.revision, info.revision);
-    if (precedence(info) <= precedence(member.info))
+    if (info.state == MemberState::Dead)
         return;
-    const bool newLife = info.incarnation > member.info.incarnation;
-    const MemberState state = info.state;
-    const MemberState before = member.info.state;
-    const std::string knownAddress = member.info.address;
-    const Revision revision = member.info.revision;
+    Member member;
     member.info = info;
-    member.info.revision = std::max(revision, info.revision);
-    // The platform's list says how this host reaches the other; gossip does not.
-    member.info.address = knownAddress;
-    member.info.state = before;
-    if (newLife)
-        this->changes += 1;
-    this->setState(member, state, now);
+    member.since = now;
+    member.introductionsLeft = this->newsRepeats();
+    member.newsLeft = member.introductionsLeft;
+    this->newsQueue.push_back(info.id);
+    this->add(member);
+}
+
+void Membership::add(const Member &member)
+{
+    this->members.emplace(member.info.id, member);
+    this->rotation.push_back(member.info.id);
+    this->changes += 1;
 }
 
 void Membership::addSeeds(const std::vector<MemberInfo> &seeds, Millis now)
@@ -123,10 +143,15 @@
         if (seed.id == this->self.id)
             continue;
         const auto found = this->members.find(seed.id);
-        if (found == this->members.end())
-            this->apply(seed, now);
-        else
+        if (found != this->members.end()) {
             found->second.info.address = seed.address;
+            continue;
+        }
+        // Every host has the list: there is nothing to tell.
+        Member member;
+        member.info = seed;
+        member.since = now;
+        this->add(member);
     }
 }
 
@@ -143,8 +168,16 @@
         const auto found = this->members.find(id);
         if (found == this->members.end())
             continue;
-        heartbeat.news.push_back(found->second.info);
-        if (--found->second.newsLeft > 0)
+        Member &member = found->second;
+        const bool introduce = member.introductionsLeft > 0
+                               && heartbeat.introductions.size() < introductionsPerHeartbeat;
+        if (introduce) {
+            member.introductionsLeft -= 1;
+            heartbeat.introductions.push_back(member.info);
+        } else {
+            heartbeat.news.push_back(newsOf(member.info));
+        }
+        if (--member.newsLeft > 0)
             this->newsQueue.push_back(id);
     }
     return heartbeat;
@@ -156,7 +189,7 @@
     this->pending.push_back({ sequence, host, now, false });
     Heartbeat heartbeat = this->make(HeartbeatKind::Ping, sequence);
     // The host is told what is said about it, so that it can contradict.
-    heartbeat.news.push_back(this->members.at(host).info);
+    heartbeat.news.push_back(newsOf(this->members.at(host).info));
     out.push_back({ host, std::move(heartbeat) });
 }
 
@@ -203,7 +236,7 @@
     }
     // A second direct try: most silences are one lost datagram.
     Heartbeat again = this->make(HeartbeatKind::Ping, pending.sequence);
-    again.news.push_back(this->members.at(pending.host).info);
+    again.news.push_back(newsOf(this->members.at(pending.host).info));
     out.push_back({ pending.host, std::move(again) });
     static_cast<void>(now);
 }
@@ -281,14 +314,16 @@
     if (current && heartbeat.sender.state == MemberState::Alive
         && sender->second.info.state == MemberState::Suspect)
         this->setState(sender->second, MemberState::Alive, now);
-    for (const MemberInfo &info : heartbeat.news)
+    for (const MemberInfo &info : heartbeat.introductions)
         this->apply(info, now);
+    for (const MemberNews &news : heartbeat.news)
+        this->applyNews(news, now);
     switch (heartbeat.kind) {
     case HeartbeatKind::Ping: {
         Heartbeat ack = this->make(HeartbeatKind::Ack, heartbeat.sequence);
         ack.about = heartbeat.about;
         if (sender != this->members.end())
-            ack.news.push_back(sender->second.info);
+            ack.news.push_back(newsOf(sender->second.info));
         out.push_back({ heartbeat.sender.id, std::move(ack) });
         break;
     }
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -44,6 +44,21 @@
     }
 };
 
+// News about a host that the receiver knows by its id.
+struct MemberNews
+{
+    HostId id;
+    Incarnation incarnation;
+    std::uint32_t refutation = 0;
+    MemberState state = MemberState::Alive;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->id, this->incarnation, this->refutation, this->state);
+    }
+};
+
 // The purpose of a heartbeat.
 enum class HeartbeatKind { Ping, Ack, IndirectPing };
 
@@ -55,12 +70,15 @@
     MemberInfo sender;
     // The host meant by an indirect ping, or the one that asked for it in an acknowledgement.
     HostId about;
-    std::vector<MemberInfo> news;
+    // Hosts that the receiver may not know, with name, zone and address.
+    std::vector<MemberInfo> introductions;
+    std::vector<MemberNews> news;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->kind, this->sequence, this->sender, this->about, this->news);
+        archive(this->kind, this->sequence, this->sender, this->about, this->introductions,
+                this->news);
     }
 };
 
@@ -143,6 +161,8 @@
         Millis since;
         // Number of times this item is still to be gossiped.
         int newsLeft = 0;
+        // Number of times it is still to be told with name, zone and address.
+        int introductionsLeft = 0;
         int flaps = 0;
         Millis lastFlapAt;
         Millis heldUntil;
@@ -165,7 +185,10 @@
     };
 
     void apply(const MemberInfo &info, Millis now);
-    void applyAboutSelf(const MemberInfo &info);
+    void add(const Member &member);
+    void applyNews(const MemberNews &news, Millis now);
+    void applyAboutSelf(const MemberNews &news);
+    bool supersede(Member &member, const MemberNews &news, Millis now);
     void setState(Member &member, MemberState state, Millis now);
     void countFlap(Member &member, Millis now) const;
     std::optional<HostId> nextTarget();
