quetzal-load: open-loop experiments checked against the searchers' ledgers

Cause: nothing compared callers' answers with what searchers ran. Change: the load tool with timeline, promises P1 to P6 and a naive direct baseline in the same run; the searcher stand-in now queues beyond its slots instead of running four requests in two slots. Found by it: TcpStream took POCO's exception for a full kernel buffer as a broken connection, so every answer longer than the buffer was cut; now only the error's code decides. EventLoop's destructor met streams that take themselves off a half-destroyed map; client callbacks could be freed while they ran.

--- /dev/null
+++ b/loadtool/experiment.cpp
@@ -0,0 +1,107 @@
+#include "loadtool/experiment.h"
+
+namespace quetzal {
+
+static constexpr double longestSeconds = 86'400;
+static constexpr double highestRate = 100'000;
+static constexpr double msPerSecond = 1000;
+static constexpr double largestMs = 1e9;
+
+static void readRequests(YamlReader &reader, const YAML::Node &root, Experiment &experiment)
+{
+    for (const YAML::Node &node : root["requests"]) {
+        const std::string where = "request";
+        reader.allowOnly(node, where, { "path", "method", "weight", "repeatable", "resend" });
+        RequestKind kind;
+        kind.path = reader.text(node, "path", where, true);
+        kind.method = reader.text(node, "method", where, false, "GET");
+        kind.weight = reader.number(node, "weight", where, 0, largestMs, false, 1);
+        kind.repeatable = reader.flag(node, "repeatable", where, true);
+        kind.resend = reader.flag(node, "resend", where, false);
+        experiment.requests.push_back(std::move(kind));
+    }
+}
+
+static void readTimeline(YamlReader &reader, const YAML::Node &root, Experiment &experiment)
+{
+    for (const YAML::Node &node : root["load"]) {
+        reader.allowOnly(node, "load", { "at_s", "rate" });
+        experiment.load.push_back(
+                { Millis(reader.number(node, "at_s", "load", 0, longestSeconds, true)
+                         * msPerSecond),
+                  reader.number(node, "rate", "load", 0, highestRate, true) });
+    }
+    for (const YAML::Node &node : root["timeline"]) {
+        reader.allowOnly(node, "timeline", { "at_s", "post", "pid_file", "signal" });
+        TimelineEntry entry;
+        entry.at = Millis(reader.number(node, "at_s", "timeline", 0, longestSeconds, true)
+                          * msPerSecond);
+        entry.post = reader.text(node, "post", "timeline", false);
+        entry.pidFile = reader.text(node, "pid_file", "timeline", false);
+        entry.signal = static_cast<int>(reader.number(node, "signal", "timeline", 0, 64, false));
+        if (entry.post.empty() == entry.pidFile.empty())
+            reader.fail(node, "timeline: either \"post\" or \"pid_file\" is expected");
+        experiment.timeline.push_back(std::move(entry));
+    }
+}
+
+static void readBounds(YamlReader &reader, const YAML::Node &root, Experiment &experiment)
+{
+    const YAML::Node bounds = root["bounds"];
+    if (!bounds.IsDefined())
+        return;
+    reader.allowOnly(
+            bounds, "bounds",
+            { "least_complete", "most_p99_ms", "most_extra_load", "added_below_baseline" });
+    experiment.bounds.leastComplete
+            = reader.number(bounds, "least_complete", "bounds", 0, 1, false, -1);
+    experiment.bounds.mostP99
+            = reader.number(bounds, "most_p99_ms", "bounds", 0, largestMs, false, -1);
+    experiment.bounds.mostExtraLoad
+            = reader.number(bounds, "most_extra_load", "bounds", 0, largestMs, false, -1);
+    experiment.bounds.addedBelowBaseline
+            = reader.flag(bounds, "added_below_baseline", "bounds", false);
+}
+
+Parsed<Experiment> parseExperiment(const std::string &file, const std::string &text)
+{
+    YamlReader reader(file);
+    Parsed<Experiment> result;
+    const YAML::Node root = reader.load(text);
+    if (!root.IsDefined() || !root.IsMap()) {
+        reader.fail(root, "an experiment is expected");
+        result.errors = reader.errors();
+        return result;
+    }
+    reader.allowOnly(root, "experiment",
+                     { "targets", "searchers", "documents", "length_s", "seed", "requests", "load",
+                       "timeline", "bounds", "baseline" });
+    Experiment &experiment = result.value;
+    experiment.targets = reader.texts(root, "targets", "experiment");
+    if (experiment.targets.empty())
+        reader.fail(root, "experiment: a list \"targets\" is expected");
+    experiment.searchersControl = reader.text(root, "searchers", "experiment", true);
+    experiment.documents = static_cast<std::uint64_t>(
+            reader.number(root, "documents", "experiment", 1, 1e15, false, 100'000));
+    experiment.length = Millis(
+            reader.number(root, "length_s", "experiment", 0.1, longestSeconds, true) * msPerSecond);
+    experiment.seed = static_cast<std::uint64_t>(
+            reader.number(root, "seed", "experiment", 0, 1e15, false, 1));
+    readRequests(reader, root, experiment);
+    readTimeline(reader, root, experiment);
+    readBounds(reader, root, experiment);
+    const YAML::Node baseline = root["baseline"];
+    if (baseline.IsDefined()) {
+        reader.allowOnly(baseline, "baseline", { "pools", "pool", "zone_delay_ms" });
+        experiment.baselinePools = reader.text(baseline, "pools", "baseline", true);
+        experiment.baselinePool = reader.text(baseline, "pool", "baseline", true);
+        experiment.baselineZoneDelay = Millis(
+                reader.number(baseline, "zone_delay_ms", "baseline", 0, largestMs, false, 0));
+    }
+    if (experiment.requests.empty() || experiment.load.empty())
+        reader.fail(root, "experiment: lists \"requests\" and \"load\" are expected");
+    result.errors = reader.errors();
+    return result;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/loadtool/runner.cpp
@@ -0,0 +1,570 @@
+#include "loadtool/runner.h"
+
+#include "quetzal/steadyclock.h"
+#include "version/tablesyaml.h"
+
+#include <algorithm>
+#include <cmath>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/NumberParser.h>
+#include <Poco/StreamCopier.h>
+
+namespace quetzal {
+
+static constexpr Millis drainTime = Millis(4000);
+static constexpr Millis progressPeriod = Millis(1000);
+static constexpr Millis targetCheckPeriod = Millis(200);
+static constexpr Millis resendPause = Millis(50);
+static constexpr int mostResends = 4;
+static constexpr std::size_t mostOpen = 20'000;
+static constexpr int statusUnavailable = 503;
+
+// One entry host as the balancer sees it.
+struct Runner::Target
+{
+    std::string address;
+    std::deque<std::shared_ptr<HttpClient>> idle;
+    // A host that closes its door is left alone until it answers again.
+    Millis avoidUntil = Millis(-1);
+};
+
+// A request on its way.
+struct Runner::Open
+{
+    CallerAnswer answer;
+    const RequestKind *kind = nullptr;
+    std::string path;
+    Target *target = nullptr;
+    std::shared_ptr<HttpClient> client;
+    int resends = 0;
+    bool reused = false;
+    double slowestService = -1;
+};
+
+Runner::Runner(const Experiment &experiment, const RunnerOptions &options)
+    : experiment(experiment)
+    , options(options)
+    , random(experiment.seed)
+{
+    for (const std::string &address : experiment.targets) {
+        this->targets.push_back(std::make_unique<Target>());
+        this->targets.back()->address = address;
+    }
+    if (experiment.baselinePools.empty())
+        return;
+    std::ifstream file(experiment.baselinePools);
+    std::stringstream text;
+    text << file.rdbuf();
+    const auto parsed = parseTables("routes", "routes: []", experiment.baselinePools, text.str());
+    for (const Pool &pool : parsed.value.pools) {
+        if (pool.name != experiment.baselinePool)
+            continue;
+        this->baselineSearchers = pool.searchers;
+        this->baselineShards = pool.shards;
+    }
+}
+
+Runner::~Runner() = default;
+
+double Runner::rateAt(Millis sinceStart) const
+{
+    double rate = 0;
+    for (const LoadStep &step : this->experiment.load) {
+        if (step.at <= sinceStart)
+            rate = step.rate;
+    }
+    return rate;
+}
+
+Runner::Target &Runner::pickTarget(const Target *except)
+{
+    const Millis now = SteadyClock::now();
+    std::vector<Target *> fit;
+    for (const auto &target : this->targets) {
+        if (target.get() != except && now >= target->avoidUntil)
+            fit.push_back(target.get());
+    }
+    if (fit.empty())
+        return *this->targets[this->random() % this->targets.size()];
+    return *fit[this->random() % fit.size()];
+}
+
+void Runner::scheduleNext()
+{
+    const double rate = this->rateAt(this->plannedAt - this->startedAt);
+    static constexpr double idleGapMs = 50;
+    const double uniform = static_cast<double>(this->random() % 1'000'000 + 1) / 1e6;
+    const double gap = rate > 0 ? -std::log(uniform) * 1000 / rate : idleGapMs;
+    this->plannedAt += Millis(gap);
+    const bool isLoad = rate > 0;
+    const Millis sinceStart = this->plannedAt - this->startedAt;
+    const bool hasBaseline = !this->baselineSearchers.empty();
+    const Millis end = this->experiment.length * (hasBaseline ? 2 : 1);
+    if (sinceStart >= end)
+        return;
+    // The time is planned without regard to earlier answers; a late send counts from the plan.
+    this->loop.schedule(this->plannedAt, [this, isLoad, sinceStart] {
+        const bool baseline = sinceStart >= this->experiment.length;
+        if (isLoad && baseline)
+            this->sendBaseline();
+        else if (isLoad)
+            this->sendNew();
+        this->scheduleNext();
+    });
+}
+
+void Runner::sendNew()
+{
+    if (this->openCount >= mostOpen)
+        return;
+    double total = 0;
+    for (const RequestKind &kind : this->experiment.requests)
+        total += kind.weight;
+    double draw = static_cast<double>(this->random() % 1'000'000) / 1e6 * total;
+    const RequestKind *kind = &this->experiment.requests.back();
+    for (const RequestKind &candidate : this->experiment.requests) {
+        if (draw < candidate.weight) {
+            kind = &candidate;
+            break;
+        }
+        draw -= candidate.weight;
+    }
+    const auto open = std::make_shared<Open>();
+    const std::string number = std::to_string(++this->sent);
+    open->kind = kind;
+    open->path = kind->path;
+    const std::size_t mark = open->path.find("{n}");
+    if (mark != std::string::npos)
+        open->path.replace(mark, 3, number);
+    const std::size_t query = open->path.find("q=");
+    open->answer.search = query != std::string::npos;
+    if (open->answer.search)
+        open->answer.query = open->path.substr(query + 2, open->path.find('&', query) - query - 2);
+    open->answer.requestId = "load-" + std::to_string(this->experiment.seed) + "-" + number;
+    open->answer.repeatable = kind->repeatable;
+    open->answer.sentAt = this->plannedAt;
+    this->searchesSent += open->answer.search ? 1 : 0;
+    this->openCount += 1;
+    open->target = &this->pickTarget(nullptr);
+    this->send(open);
+}
+
+void Runner::send(const std::shared_ptr<Open> &open)
+{
+    const auto transmit = [this, open] {
+        std::vector<HttpField> fields = { { "X-Quetzal-Request-Id", open->answer.requestId } };
+        if (open->answer.search)
+            fields.push_back({ "X-Quetzal-Explain", "1" });
+        const bool hasBody = open->kind->method != "GET";
+        open->client->send(open->kind->method, open->path, fields, hasBody ? "{}" : "");
+    };
+    Target &target = *open->target;
+    if (!target.idle.empty()) {
+        open->client = target.idle.front();
+        target.idle.pop_front();
+        open->reused = true;
+    } else {
+        open->reused = false;
+    }
+    HttpClientCallbacks callbacks;
+    callbacks.onConnected = transmit;
+    callbacks.onResponse
+            = [this, open](const HttpResponse &response) { this->onResponse(open, response); };
+    callbacks.onClosed = [this, open](bool bytesSent) { this->onLost(open, bytesSent); };
+    if (open->reused) {
+        open->client->setCallbacks(callbacks);
+        transmit();
+        return;
+    }
+    open->client = HttpClient::connect(this->loop, target.address, callbacks);
+}
+
+static void readAnswer(const HttpResponse &response, CallerAnswer &answer, double &slowestService)
+{
+    answer.answered = true;
+    answer.status = static_cast<int>(response.head.getStatus());
+    answer.verdict = response.head.get("X-Quetzal-Verdict", "");
+    answer.bodyRequestId = response.head.get("X-Quetzal-Request-Id", "");
+    if (!answer.search)
+        return;
+    try {
+        Poco::JSON::Parser parser;
+        const auto json = parser.parse(response.body).extract<Poco::JSON::Object::Ptr>();
+        answer.bodyRequestId = json->optValue<std::string>("request_id", "");
+        if (!json->has("coverage"))
+            return;
+        answer.version = { json->getValue<Poco::UInt64>("version") };
+        const auto coverage = json->getObject("coverage");
+        answer.shardsAnswered = coverage->getValue<Poco::UInt32>("shards_answered");
+        answer.shardsTotal = coverage->getValue<Poco::UInt32>("shards_total");
+        answer.documentsAnswered = coverage->getValue<Poco::UInt64>("documents_answered");
+        if (!coverage->isNull("documents_total"))
+            answer.documentsTotal = coverage->getValue<Poco::Int64>("documents_total");
+        const auto missing = coverage->getArray("missing");
+        for (unsigned i = 0; i < missing->size(); ++i)
+            answer.missing.push_back(missing->getObject(i)->getValue<Poco::UInt32>("shard"));
+        const auto hits = json->getArray("hits");
+        for (unsigned i = 0; i < hits->size(); ++i)
+            answer.hits.push_back({ hits->getObject(i)->getValue<std::string>("id"),
+                                    hits->getObject(i)->getValue<double>("score") });
+        const auto explain = json->getArray("explain");
+        for (unsigned i = 0; explain && i < explain->size(); ++i) {
+            const auto attempt = explain->getObject(i);
+            if (attempt->optValue<std::string>("verdict", "") == "ran")
+                slowestService = std::max(slowestService, attempt->getValue<double>("service_ms"));
+        }
+    } catch (const Poco::Exception &) {
+        // An answer that cannot be read is not a true answer.
+        answer.verdict = "unreadable";
+    }
+}
+
+// Keeps a connection for a later request, until its server closes it.
+static void keepIdle(std::deque<std::shared_ptr<HttpClient>> &idle,
+                     const std::shared_ptr<HttpClient> &client)
+{
+    idle.push_back(client);
+    HttpClientCallbacks callbacks;
+    callbacks.onClosed = [&idle, raw = client.get()](bool) {
+        std::erase_if(idle, [raw](const auto &entry) { return entry.get() == raw; });
+    };
+    client->setCallbacks(callbacks);
+}
+
+void Runner::onResponse(const std::shared_ptr<Open> &open, const HttpResponse &response)
+{
+    open->answer.latency = SteadyClock::now() - open->answer.sentAt;
+    readAnswer(response, open->answer, open->slowestService);
+    if (response.head.getKeepAlive())
+        keepIdle(open->target->idle, open->client);
+    const bool unclear = open->kind->resend && open->answer.verdict != "ran";
+    if (unclear && open->resends < mostResends) {
+        this->resend(open);
+        return;
+    }
+    this->finish(open);
+}
+
+void Runner::resend(const std::shared_ptr<Open> &open)
+{
+    open->resends += 1;
+    // The client belongs to this request no longer.
+    open->client.reset();
+    this->loop.schedule(SteadyClock::now() + resendPause, [this, open] {
+        open->target = &this->pickTarget(open->target);
+        this->send(open);
+    });
+}
+
+void Runner::onLost(const std::shared_ptr<Open> &open, bool bytesSent)
+{
+    open->target->avoidUntil = SteadyClock::now() + targetCheckPeriod;
+    open->target->idle.clear();
+    // Nothing was sent, or an idle connection had been closed by then: another host may be asked.
+    const bool safe = !bytesSent || open->kind->repeatable || open->kind->resend;
+    if (safe && open->resends < mostResends) {
+        this->resend(open);
+        return;
+    }
+    open->answer.latency = SteadyClock::now() - open->answer.sentAt;
+    this->finish(open);
+}
+
+void Runner::finish(const std::shared_ptr<Open> &open)
+{
+    this->openCount -= 1;
+    open->answer.serviceMs = open->slowestService;
+    this->answers.push_back(std::move(open->answer));
+    open->client.reset();
+}
+
+namespace {
+
+// A baseline query on its way.
+struct BaselineQuery
+{
+    Millis sentAt;
+    std::uint32_t waiting = 0;
+    double slowestService = 0;
+    bool failed = false;
+};
+
+} // namespace
+
+void Runner::sendBaseline()
+{
+    const auto query = std::make_shared<BaselineQuery>();
+    query->sentAt = this->plannedAt;
+    query->waiting = this->baselineShards;
+    const std::string number = std::to_string(++this->baselineSent);
+    const std::string zone
+            = this->baselineSearchers[this->random() % this->baselineSearchers.size()].zone;
+    for (std::uint32_t shard = 0; shard < this->baselineShards; ++shard) {
+        std::vector<const Searcher *> replicas;
+        for (const Searcher &searcher : this->baselineSearchers) {
+            if (searcher.shard == shard)
+                replicas.push_back(&searcher);
+        }
+        const Searcher &chosen = *replicas[this->random() % replicas.size()];
+        const Millis way = chosen.zone == zone ? Millis(0) : this->experiment.baselineZoneDelay;
+        const auto client = std::make_shared<std::shared_ptr<HttpClient>>();
+        auto &idle = this->baselineIdle[chosen.address];
+        const auto transmit = [client, shard, number] {
+            (*client)->send("GET", "/shopfront/search?q=" + number,
+                            { { "X-Quetzal-Request-Id", "baseline-" + number },
+                              { "X-Quetzal-Attempt", "baseline-" + number },
+                              { "X-Quetzal-Version", "1" },
+                              { "X-Quetzal-Shard", std::to_string(shard) } },
+                            "");
+        };
+        const auto done = [this, query](Millis back) {
+            this->loop.schedule(SteadyClock::now() + back, [this, query] {
+                query->waiting -= 1;
+                if (query->waiting > 0 || query->failed)
+                    return;
+                const double total = (SteadyClock::now() - query->sentAt).count();
+                this->baselineLatencies.push_back(total - query->slowestService);
+            });
+        };
+        HttpClientCallbacks callbacks;
+        callbacks.onConnected = transmit;
+        callbacks.onResponse = [query, client, done, way, &idle](const HttpResponse &response) {
+            double service = 0;
+            Poco::NumberParser::tryParseFloat(response.head.get("X-Service-Ms", "0"), service);
+            query->slowestService = std::max(query->slowestService, service);
+            query->failed = query->failed || response.head.getStatus() != 200;
+            keepIdle(idle, *client);
+            done(way);
+        };
+        callbacks.onClosed = [query, done](bool) {
+            query->failed = true;
+            done(Millis(0));
+        };
+        this->loop.schedule(SteadyClock::now() + way,
+                            [this, client, callbacks, transmit, &idle, address = chosen.address] {
+                                if (idle.empty()) {
+                                    *client = HttpClient::connect(this->loop, address, callbacks);
+                                    return;
+                                }
+                                *client = idle.front();
+                                idle.pop_front();
+                                (*client)->setCallbacks(callbacks);
+                                transmit();
+                            });
+    }
+}
+
+std::string Runner::fetch(const std::string &address, const std::string &target) const
+{
+    using namespace Poco::Net;
+    HTTPClientSession session{ SocketAddress(address) };
+    static constexpr int patienceSeconds = 30;
+    session.setTimeout(Poco::Timespan(patienceSeconds, 0));
+    HTTPRequest request(HTTPRequest::HTTP_GET, target, HTTPMessage::HTTP_1_1);
+    session.sendRequest(request);
+    HTTPResponse response;
+    std::string body;
+    Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+    return body;
+}
+
+void Runner::act(const TimelineEntry &entry)
+{
+    if (!entry.pidFile.empty()) {
+        std::ifstream file(entry.pidFile);
+        pid_t pid = 0;
+        // Only a process named by a trial's own file is signalled.
+        if (file >> pid && pid > 1)
+            kill(pid, entry.signal);
+        return;
+    }
+    const std::size_t slash = entry.post.find('/');
+    const std::string address = entry.post.substr(0, slash);
+    const std::string target = entry.post.substr(slash);
+    const auto client = std::make_shared<std::shared_ptr<HttpClient>>();
+    HttpClientCallbacks callbacks;
+    callbacks.onConnected = [client, target] { (*client)->send("POST", target, {}, ""); };
+    callbacks.onResponse = [this, client](const HttpResponse &) {
+        this->loop.post([client] { (*client)->close(); });
+    };
+    *client = HttpClient::connect(this->loop, address, callbacks);
+}
+
+void Runner::showProgress()
+{
+    if (!this->options.progress)
+        return;
+    const double seconds = (SteadyClock::now() - this->startedAt).count() / 1000;
+    std::cerr << "\r" << static_cast<int>(seconds) << " s, " << this->answers.size()
+              << " answered, " << this->openCount << " open   " << std::flush;
+    this->loop.schedule(SteadyClock::now() + progressPeriod, [this] { this->showProgress(); });
+}
+
+bool Runner::run()
+{
+    this->startedAt = SteadyClock::now();
+    this->plannedAt = this->startedAt;
+    this->scheduleNext();
+    this->showProgress();
+    for (const TimelineEntry &entry : this->experiment.timeline)
+        this->loop.schedule(this->startedAt + entry.at, [this, entry] { this->act(entry); });
+    const bool hasBaseline = !this->baselineSearchers.empty();
+    const Millis end = this->experiment.length * (hasBaseline ? 2 : 1) + drainTime;
+    this->loop.schedule(this->startedAt + end, [this] { this->loop.stop(); });
+    this->loop.run();
+    if (this->options.progress)
+        std::cerr << "\n";
+    this->writeFiles();
+    return this->report();
+}
+
+static double quantile(std::vector<double> &values, double fraction)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    const auto index = static_cast<std::size_t>(fraction * static_cast<double>(values.size()));
+    return values[std::min(index, values.size() - 1)];
+}
+
+namespace {
+
+// Prints "name value unit bound ok|RED" and keeps whether all held.
+class Lines
+{
+public:
+    void figure(const std::string &name, double value, const std::string &unit)
+    {
+        std::cout << name << ' ' << value << ' ' << unit << " - ok\n";
+    }
+
+    void bound(const std::string &name, double value, const std::string &unit, double limit,
+               bool held)
+    {
+        std::cout << name << ' ' << value << ' ' << unit << ' ' << limit << ' '
+                  << (held ? "ok" : "RED") << '\n';
+        this->allHeld = this->allHeld && held;
+    }
+
+    bool held() const { return this->allHeld; }
+
+private:
+    bool allHeld = true;
+};
+
+} // namespace
+
+bool Runner::report()
+{
+    const auto ledger = parseLedger(this->fetch(this->experiment.searchersControl, "/ledger"));
+    const PromiseCounts counts = checkPromises(this->answers, ledger, this->experiment.documents);
+    std::vector<double> latencies;
+    std::vector<double> added;
+    double searches = 0;
+    double complete = 0;
+    double refused = 0;
+    double lost = 0;
+    double firstAttempts = 0;
+    double shardsAnswered = 0;
+    for (const CallerAnswer &answer : this->answers) {
+        lost += answer.answered ? 0 : 1;
+        if (!answer.search)
+            continue;
+        searches += 1;
+        refused += answer.status == statusUnavailable ? 1 : 0;
+        latencies.push_back(answer.latency.count());
+        const bool whole = answer.verdict == "ran" && answer.shardsTotal > 0
+                           && answer.shardsAnswered == answer.shardsTotal;
+        complete += whole ? 1 : 0;
+        firstAttempts += answer.shardsTotal;
+        shardsAnswered += answer.shardsAnswered;
+        if (whole && answer.serviceMs >= 0)
+            added.push_back(answer.latency.count() - answer.serviceMs);
+    }
+    double runs = 0;
+    for (const LedgerLine &line : ledger)
+        runs += line.version.value != 0 && line.requestId.starts_with("load-") ? 1 : 0;
+    Lines lines;
+    lines.figure("live/requests", static_cast<double>(this->answers.size()), "requests");
+    lines.figure("live/lost", lost, "requests");
+    lines.figure("live/refused", refused, "requests");
+    lines.figure("live/p50", quantile(latencies, 0.5), "ms");
+    lines.figure("live/p90", quantile(latencies, 0.9), "ms");
+    const double p99 = quantile(latencies, 0.99);
+    const ExperimentBounds &bounds = this->experiment.bounds;
+    if (bounds.mostP99 >= 0)
+        lines.bound("live/p99", p99, "ms", bounds.mostP99, p99 <= bounds.mostP99);
+    else
+        lines.figure("live/p99", p99, "ms");
+    lines.figure("live/p99.9", quantile(latencies, 0.999), "ms");
+    const double share = searches > 0 ? complete / searches : 1;
+    if (bounds.leastComplete >= 0)
+        lines.bound("live/complete", share, "fraction", bounds.leastComplete,
+                    share >= bounds.leastComplete);
+    else
+        lines.figure("live/complete", share, "fraction");
+    const double extra = firstAttempts > 0 ? runs / firstAttempts - 1 : 0;
+    if (bounds.mostExtraLoad >= 0)
+        lines.bound("live/extra-load", extra, "fraction", bounds.mostExtraLoad,
+                    extra <= bounds.mostExtraLoad);
+    else
+        lines.figure("live/extra-load", extra, "fraction");
+    const double addedP99 = quantile(added, 0.99);
+    lines.figure("live/added-p50", quantile(added, 0.5), "ms");
+    lines.figure("live/added-p99", addedP99, "ms");
+    if (!this->baselineSearchers.empty()) {
+        const double baseline = quantile(this->baselineLatencies, 0.99);
+        lines.figure("live/baseline-queries", static_cast<double>(this->baselineSent), "queries");
+        lines.figure("live/baseline-complete", static_cast<double>(this->baselineLatencies.size()),
+                     "queries");
+        lines.figure("live/baseline-added-p50", quantile(this->baselineLatencies, 0.5), "ms");
+        lines.figure("live/baseline-added-p99", baseline, "ms");
+        if (bounds.addedBelowBaseline)
+            lines.bound("live/added-p99-ratio", addedP99 / baseline, "ratio", 1,
+                        addedP99 <= baseline);
+    }
+    const auto promise = [&](const std::string &name, std::uint64_t count) {
+        lines.bound("live/" + name, static_cast<double>(count), "violations", 0, count == 0);
+    };
+    promise("P1-snapshot", counts.snapshot);
+    promise("P2-coverage", counts.coverage);
+    promise("P3-foreign-reply", counts.foreignReply);
+    promise("P4-not-run", counts.falseNotRun);
+    promise("P5-ran-twice", counts.ranTwice);
+    promise("P6-after-drain", counts.afterDrain);
+    lines.figure("live/expired-work", static_cast<double>(counts.expired), "runs");
+    static_cast<void>(shardsAnswered);
+    return lines.held();
+}
+
+void Runner::writeFiles() const
+{
+    if (!this->options.csv.empty()) {
+        std::ofstream csv(this->options.csv);
+        csv << "sent_ms,latency_ms,status,verdict,shards_answered,shards_total,version\n";
+        for (const CallerAnswer &answer : this->answers)
+            csv << (answer.sentAt - this->startedAt).count() << ',' << answer.latency.count() << ','
+                << answer.status << ',' << answer.verdict << ',' << answer.shardsAnswered << ','
+                << answer.shardsTotal << ',' << answer.version.value << '\n';
+    }
+    if (this->options.plot.empty())
+        return;
+    std::ofstream plot(this->options.plot);
+    plot << "set terminal png size 1000,500\nset output '" << this->options.plot << ".png'\n"
+         << "set datafile separator ','\nset xlabel 'seconds'\nset ylabel 'latency, ms'\n"
+         << "set logscale y\nplot '" << this->options.csv
+         << "' using ($1/1000):2 skip 1 with dots title 'requests'\n";
+}
+
+} // namespace quetzal
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -19,8 +19,11 @@
     StreamCallbacks streamCallbacks;
     streamCallbacks.onConnected = [weak] {
         const auto self = weak.lock();
-        if (self && self->callbacks.onConnected)
-            self->callbacks.onConnected();
+        if (!self || !self->callbacks.onConnected)
+            return;
+        // A copy: the owner may close the connection, and with it the callbacks, meanwhile.
+        const auto onConnected = self->callbacks.onConnected;
+        onConnected();
     };
     streamCallbacks.onData = [weak](std::string_view data) {
         if (const auto self = weak.lock())
@@ -74,8 +77,10 @@
     const bool surplus = this->reader.hasPartial();
     this->waiting = false;
     const bool keep = response->head.getKeepAlive() && !surplus;
-    if (this->callbacks.onResponse)
-        this->callbacks.onResponse(*response);
+    // A copy: the owner may close the connection, and with it the callbacks, meanwhile.
+    const auto onResponse = this->callbacks.onResponse;
+    if (onResponse)
+        onResponse(*response);
     if (keep || !this->stream->isOpen())
         return;
     this->stream->close();
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -32,6 +32,9 @@
     void send(const std::string &method, const std::string &target,
               const std::vector<HttpField> &fields, const std::string &body);
 
+    // Hands an idle connection to another owner.
+    void setCallbacks(const HttpClientCallbacks &next) { this->callbacks = next; }
+
     // Ends the connection without a callback.
     void close();
 
--- a/src/connection/tcpstream.cpp
+++ b/src/connection/tcpstream.cpp
@@ -5,6 +5,7 @@
 #include <array>
 
 #include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketDefs.h>
 
 namespace quetzal {
 
@@ -71,10 +72,14 @@
             this->written += static_cast<std::uint64_t>(sent);
             this->buffer.erase(0, static_cast<std::size_t>(sent));
         }
-    } catch (const Poco::Exception &) {
-        // Told later: the writer is not prepared for onClosed inside write.
-        this->loop.post([self = this->shared_from_this()] { self->fail(); });
-        return;
+    } catch (const Poco::Exception &error) {
+        // POCO reports a full kernel buffer by an exception when sending.
+        const bool full = error.code() == POCO_EAGAIN || error.code() == POCO_EWOULDBLOCK;
+        if (!full) {
+            // Told later: the writer is not prepared for onClosed inside write.
+            this->loop.post([self = this->shared_from_this()] { self->fail(); });
+            return;
+        }
     }
     const bool wants = !this->buffer.empty();
     if (wants == this->wantsWrite)
--- a/src/process/eventloop.cpp
+++ b/src/process/eventloop.cpp
@@ -24,6 +24,11 @@
 
 EventLoop::~EventLoop()
 {
+    // Streams take themselves off the loop when they go: the map must be whole while they do.
+    auto orphans = std::move(this->handlers);
+    this->handlers.clear();
+    orphans.clear();
+    this->timers.clear();
     Task *task = nullptr;
     while (this->tasks.pop(task))
         delete task;
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -73,6 +73,8 @@
         this->changes += 1;
     member.info.state = state;
     member.since = now;
+    if (state != MemberState::Alive)
+        this->unsettled.insert(member.info.id);
     this->announce(member);
 }
 
@@ -134,6 +136,8 @@
 {
     this->members.emplace(member.info.id, member);
     this->rotation.push_back(member.info.id);
+    if (member.info.state != MemberState::Alive)
+        this->unsettled.insert(member.info.id);
     this->changes += 1;
 }
 
@@ -265,18 +269,27 @@
 
 void Membership::checkSuspects(Millis now)
 {
-    std::vector<HostId> forgotten;
-    for (auto &[id, member] : this->members) {
+    std::set<HostId> left;
+    const std::set<HostId> checked = this->unsettled;
+    for (const HostId id : checked) {
+        const auto found = this->members.find(id);
+        if (found == this->members.end() || found->second.info.state == MemberState::Alive)
+            continue;
+        Member &member = found->second;
         const Millis age = now - member.since;
-        if (member.info.state == MemberState::Suspect && age >= this->times.suspicion)
-            this->setState(member, MemberState::Dead, now);
-        if (member.info.state == MemberState::Leaving && age >= this->times.burial)
+        const MemberState state = member.info.state;
+        const bool buried = age >= this->times.burial;
+        if (state == MemberState::Dead && buried) {
+            this->members.erase(found);
+            continue;
+        }
+        const bool dies = (state == MemberState::Suspect && age >= this->times.suspicion)
+                          || (state == MemberState::Leaving && buried);
+        if (dies)
             this->setState(member, MemberState::Dead, now);
-        else if (member.info.state == MemberState::Dead && age >= this->times.burial)
-            forgotten.push_back(id);
+        left.insert(id);
     }
-    for (const HostId id : forgotten)
-        this->members.erase(id);
+    this->unsettled = std::move(left);
 }
 
 void Membership::onTimer(Millis now, std::vector<OutgoingHeartbeat> &out)
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -204,6 +205,8 @@
     MembershipTimes times;
     std::mt19937_64 random;
     std::unordered_map<HostId, Member> members;
+    // Hosts that are not alive, for the sweep.
+    std::set<HostId> unsettled;
     std::vector<HostId> rotation;
     std::deque<HostId> newsQueue;
     std::vector<PendingPing> pending;
--- a/standins/searchersstandin.cpp
+++ b/standins/searchersstandin.cpp
@@ -176,18 +176,18 @@
     std::uint64_t runs = 0;
     std::uint64_t shed = 0;
     std::uint64_t overCap = 0;
-    std::uint64_t overSlots = 0;
+    std::uint64_t waited = 0;
     for (const auto &searcher : this->searchers) {
         runs += searcher->ledger().size();
         shed += searcher->counts().shed;
         overCap += searcher->counts().refusedConnections;
-        overSlots += searcher->counts().mostRunning > searcher->where().slots ? 1 : 0;
+        waited += searcher->counts().waited;
     }
     Poco::JSON::Object json;
     json.set("runs", runs);
     json.set("shed", shed);
     json.set("refused_connections", overCap);
-    json.set("searchers_over_slots", overSlots);
+    json.set("waited_for_slots", waited);
     std::ostringstream text;
     json.stringify(text);
     return text.str();
--- a/standins/searcherstandin.cpp
+++ b/standins/searcherstandin.cpp
@@ -15,8 +15,6 @@
 
 static constexpr int statusOk = 200;
 static constexpr int statusRefused = 503;
-// Requests that may wait beyond the slots before a searcher sheds.
-static constexpr std::size_t waitingAllowed = 2;
 // Work that starts this long after a drain began breaks the promise.
 static constexpr Millis drainAllowance = Millis(5000);
 
@@ -61,6 +59,7 @@
     for (const auto &[exchange, run] : this->running)
         this->loop.cancel(run.timer);
     this->running.clear();
+    this->waiting.clear();
 }
 
 void SearcherStandin::silenceConnections()
@@ -149,7 +148,7 @@
 void SearcherStandin::serve(const std::shared_ptr<HttpExchange> &exchange, Millis arrivedAt)
 {
     const auto &head = exchange->request().head;
-    if (this->behaviour.shedAll || this->running.size() >= this->place.slots + waitingAllowed) {
+    if (this->behaviour.shedAll || this->waiting.size() >= this->place.connectionCap) {
         this->count.shed += 1;
         this->refuse(*exchange, "shed");
         return;
@@ -163,13 +162,33 @@
     double deadline = 0;
     const bool hasDeadline
             = Poco::NumberParser::tryParseFloat(head.get("X-Quetzal-Deadline-Ms", ""), deadline);
-    static_cast<void>(arrivedAt);
-    this->run(exchange, holding, hasDeadline && deadline <= 0);
+    Waiting job = { exchange, holding != nullptr ? *holding : Holding(),
+                    hasDeadline ? arrivedAt + Millis(deadline) : Millis::never() };
+    if (this->running.size() < this->place.slots) {
+        this->run(job);
+        return;
+    }
+    this->count.waited += 1;
+    this->waiting.push_back(job);
+    exchange->onGone([this, raw = exchange.get()] {
+        std::erase_if(this->waiting,
+                      [raw](const Waiting &entry) { return entry.exchange.get() == raw; });
+    });
+}
+
+void SearcherStandin::startNext()
+{
+    if (this->waiting.empty() || this->running.size() >= this->place.slots)
+        return;
+    const Waiting job = this->waiting.front();
+    this->waiting.pop_front();
+    this->run(job);
 }
 
-void SearcherStandin::run(const std::shared_ptr<HttpExchange> &exchange, const Holding *holding,
-                          bool expired)
+void SearcherStandin::run(const Waiting &job)
 {
+    const std::shared_ptr<HttpExchange> exchange = job.exchange;
+    const Holding held = job.holding;
     const auto &head = exchange->request().head;
     const Millis now = SteadyClock::now();
     LedgerEntry entry;
@@ -177,14 +196,10 @@
     entry.attempt = head.get("X-Quetzal-Attempt", "");
     entry.searcher = this->place.address;
     entry.startedAt = now;
-    entry.expired = expired;
+    entry.expired = now > job.deadline;
     entry.afterDrain = this->behaviour.draining && now - this->drainingSince > drainAllowance;
-    Holding held;
-    if (holding != nullptr) {
-        held = *holding;
-        entry.version = held.version;
-        entry.shard = held.shard;
-    }
+    entry.version = held.version;
+    entry.shard = held.shard;
     this->entries.push_back(entry);
     Run started;
     started.ledgerIndex = this->entries.size() - 1;
@@ -204,6 +219,7 @@
         cancelled.endedAt = SteadyClock::now();
         this->loop.cancel(found->second.timer);
         this->running.erase(found);
+        this->startNext();
     });
 }
 
@@ -212,11 +228,15 @@
     const auto found = this->running.find(exchange.get());
     if (found == this->running.end())
         return;
-    this->entries[found->second.ledgerIndex].endedAt = SteadyClock::now();
+    LedgerEntry &ended = this->entries[found->second.ledgerIndex];
+    ended.endedAt = SteadyClock::now();
+    const Millis took = ended.endedAt - ended.startedAt;
     this->running.erase(found);
+    this->loop.post([this] { this->startNext(); });
     const auto &head = exchange->request().head;
     std::vector<HttpField> fields = { { "X-Quetzal-Attempt", head.get("X-Quetzal-Attempt", "") },
-                                      { "X-Quetzal-Verdict", "ran" } };
+                                      { "X-Quetzal-Verdict", "ran" },
+                                      { "X-Service-Ms", std::to_string(took.count()) } };
     if (this->behaviour.draining)
         fields.push_back({ "X-Quetzal-Draining", "1" });
     if (holding.partitions == 0) {
--- a/standins/searcherstandin.h
+++ b/standins/searcherstandin.h
@@ -8,6 +8,7 @@
 #include "version/versionbook.h"
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <random>
 #include <string>
@@ -40,6 +41,8 @@
     std::uint64_t refusedConnections = 0;
     std::uint64_t mostConnections = 0;
     std::uint64_t mostRunning = 0;
+    // Requests that found all slots in use.
+    std::uint64_t waited = 0;
 };
 
 // How a searcher behaves; changed at run time.
@@ -94,13 +97,22 @@
         TimerId timer = 0;
     };
 
+    // A request that waits for a slot.
+    struct Waiting
+    {
+        std::shared_ptr<HttpExchange> exchange;
+        Holding holding;
+        Millis deadline;
+    };
+
     void onRequest(const std::shared_ptr<HttpExchange> &exchange);
     void serve(const std::shared_ptr<HttpExchange> &exchange, Millis arrivedAt);
     void answerStatus(HttpExchange &exchange);
     void refuse(HttpExchange &exchange, const std::string &reason);
     std::string statusText() const;
     const Holding *findHolding(const HttpExchange &exchange) const;
-    void run(const std::shared_ptr<HttpExchange> &exchange, const Holding *holding, bool expired);
+    void run(const Waiting &job);
+    void startNext();
     void finish(const std::shared_ptr<HttpExchange> &exchange, const Holding &holding);
     Millis serviceTime();
 
@@ -112,6 +124,7 @@
     std::vector<Holding> holdings;
     std::shared_ptr<HttpServer> server;
     std::unordered_map<HttpExchange *, Run> running;
+    std::deque<Waiting> waiting;
     std::vector<LedgerEntry> entries;
     SearcherCounts count;
     Millis startedAt;
