--- a/apps/quetzald.cpp
+++ b/apps/quetzald.cpp
@@ -100,10 +100,12 @@
     std::stringstream text;
     text << file.rdbuf();
     const auto parsed = quetzal::parseSettings(path, text.str());
-    for (const std::string &error : parsed.errors)
-        std::cerr << error << "\n";
-    if (!parsed.ok())
+    if (!parsed.ok()) {
+        quetzal::startLog("");
+        for (const std::string &error : parsed.errors)
+            quetzal::logEvent(quetzal::LogEvent::SettingsRefused, error);
         return exitUsage;
+    }
     if (absl::GetFlag(FLAGS_check)) {
         std::cout << path << ": settings are valid\n";
         return exitOk;
--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -79,7 +79,8 @@
         const Ownership ownership(candidates);
         std::uint64_t key = 0;
         const double nanos = nanosPer(20'000, [&] {
-            keep(ownership.ownerOf({ ++key }, "zone-" + std::to_string(key % zoneCount)));
+            key += 1;
+            keep(ownership.ownerOf({ key }, "zone-" + std::to_string(key % zoneCount)));
         });
         report.figure("ownership/" + std::to_string(size) + "/per-searcher", nanos, "ns");
     }
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -129,7 +129,6 @@
     fleet.startHost(dead);
     report.atMost("fleet/death/restarted-current", secondsUntilCurrent(fleet, Millis(60'000)), "s",
                   inForceSeconds);
-    report.atMost("fleet/steps-back", static_cast<double>(fleet.stepsBack()), "steps", 0);
 }
 
 } // namespace
@@ -143,8 +142,9 @@
     quetzal::VirtualFleet fleet(quetzal::setupOf());
     quetzal::steadyState(report, fleet);
     quetzal::changeInForce(report, fleet);
+    quetzal::hostFailures(report, fleet);
     quetzal::zoneCut(report, fleet);
     quetzal::storeOutage(report, fleet);
-    quetzal::hostFailures(report, fleet);
+    report.atMost("fleet/steps-back", static_cast<double>(fleet.stepsBack()), "steps", 0);
     return report.print();
 }
--- a/bench/request.cpp
+++ b/bench/request.cpp
@@ -140,7 +140,7 @@
             // No policy at all: a random replica for each shard and a map of the open ones.
             std::map<std::uint32_t, SearcherId> open;
             for (std::uint32_t shard = 0; shard < shards; ++shard)
-                open[shard] = ids[shard * 2 + random() % 2];
+                open[shard] = ids[std::size_t(shard) * 2 + random() % 2];
             for (std::uint32_t shard = 0; shard < shards; ++shard)
                 open.erase(shard);
             keep(open);
--- /dev/null
+++ b/bench/virtual/fakestore.h
@@ -0,0 +1,112 @@
+// The platform's key-value service in memory, with lost replies and outages.
+#pragma once
+
+#include "version/store.h"
+
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+
+namespace quetzal {
+
+// A store whose calls can be interleaved with another editor's, lost or refused.
+class FakeStore
+{
+public:
+    explicit FakeStore(std::uint64_t seed)
+        : random(seed)
+    {}
+
+    // Fraction of writes that take effect and whose reply is lost.
+    double lost = 0;
+    bool down = false;
+    // Called before each call; another editor may do a whole edit in it.
+    std::function<void()> beforeCall;
+    std::uint64_t calls = 0;
+
+    StoreReply read(const std::string &key)
+    {
+        this->enter();
+        const auto found = this->entries.find(key);
+        if (this->down)
+            return {};
+        if (found == this->entries.end())
+            return { StoreStatus::NotFound, {}, 0 };
+        return { StoreStatus::Ok, found->second.value, found->second.version };
+    }
+
+    StoreReply write(const std::string &key, const std::string &value,
+                     std::optional<std::uint64_t> ifVersion)
+    {
+        this->enter();
+        if (this->down)
+            return {};
+        if (ifVersion && *ifVersion != this->versionOf(key))
+            return this->reply({ StoreStatus::Conflict, {}, 0 });
+        this->entries[key] = { value, ++this->lastVersion };
+        return this->reply({ StoreStatus::Ok, {}, this->lastVersion });
+    }
+
+    StoreReply remove(const std::string &key, std::optional<std::uint64_t> ifVersion)
+    {
+        this->enter();
+        if (this->down)
+            return {};
+        if (ifVersion && *ifVersion != this->versionOf(key))
+            return this->reply({ StoreStatus::Conflict, {}, 0 });
+        this->entries.erase(key);
+        return this->reply({ StoreStatus::Ok, {}, 0 });
+    }
+
+    std::vector<std::string> list(const std::string &prefix)
+    {
+        this->enter();
+        std::vector<std::string> keys;
+        for (const auto &[key, entry] : this->entries) {
+            if (key.starts_with(prefix))
+                keys.push_back(key);
+        }
+        return keys;
+    }
+
+private:
+    struct Entry
+    {
+        std::string value;
+        std::uint64_t version = 0;
+    };
+
+    void enter()
+    {
+        this->calls += 1;
+        if (!this->beforeCall)
+            return;
+        // Not within the other editor's own calls.
+        const auto other = std::move(this->beforeCall);
+        this->beforeCall = nullptr;
+        other();
+        this->beforeCall = other;
+    }
+
+    StoreReply reply(const StoreReply &truth)
+    {
+        static constexpr double steps = 1'000'000;
+        const bool isLost = static_cast<double>(this->random() % 1'000'000) < this->lost * steps;
+        return isLost ? StoreReply() : truth;
+    }
+
+    std::uint64_t versionOf(const std::string &key) const
+    {
+        const auto found = this->entries.find(key);
+        return found == this->entries.end() ? 0 : found->second.version;
+    }
+
+    std::mt19937_64 random;
+    std::map<std::string, Entry> entries;
+    std::uint64_t lastVersion = 0;
+};
+
+static_assert(Store<FakeStore>);
+
+} // namespace quetzal
--- a/loadtool/runner.cpp
+++ b/loadtool/runner.cpp
@@ -162,7 +162,7 @@
 
 void Runner::send(const std::shared_ptr<Open> &open)
 {
-    const auto transmit = [this, open] {
+    const auto transmit = [open] {
         std::vector<HttpField> fields = { { "X-Quetzal-Request-Id", open->answer.requestId } };
         if (open->answer.search)
             fields.push_back({ "X-Quetzal-Explain", "1" });
@@ -248,6 +248,8 @@
     readAnswer(response, open->answer, open->slowestService);
     if (response.head.getKeepAlive())
         keepIdle(open->target->idle, open->client);
+    else
+        open->client->setCallbacks({});
     const bool unclear = open->kind->resend && open->answer.verdict != "ran";
     if (unclear && open->resends < mostResends) {
         this->resend(open);
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -16,6 +16,7 @@
 static constexpr int statusUnavailable = 503;
 // Time between saying "not ready" and closing the door, for balancers to look again.
 static constexpr Millis balancerGrace = Millis(1000);
+static constexpr Millis traceCheckPeriod = Millis(5000);
 static constexpr Millis endCheckPeriod = Millis(20);
 
 Daemon::Daemon(const Settings &settings)
@@ -194,7 +195,10 @@
         entry->thread = std::thread([&loop = entry->loop] { loop.run(); });
     logEvent(LogEvent::Started, "host=" + this->settings.name + " zone=" + this->settings.zone
                                         + " callers=" + this->settings.callersAddress);
-    this->control.post([this] { this->agent->start(); });
+    this->control.post([this] {
+        this->agent->start();
+        this->watchTraces();
+    });
     this->control.run();
     for (const auto &entry : this->entries)
         entry->loop.stop();
@@ -208,6 +212,15 @@
     return !this->cutOff;
 }
 
+void Daemon::watchTraces()
+{
+    const std::uint64_t dropped = this->traces.dropped();
+    if (dropped > this->loggedDropped)
+        logEvent(LogEvent::TraceDropped, "count=" + std::to_string(dropped - this->loggedDropped));
+    this->loggedDropped = dropped;
+    this->control.schedule(SteadyClock::now() + traceCheckPeriod, [this] { this->watchTraces(); });
+}
+
 void Daemon::shutdown()
 {
     this->control.post([this] { this->beginShutdown(); });
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -74,6 +74,7 @@
     void answerStatus(HttpExchange &exchange);
     void answerMetrics(const std::shared_ptr<HttpExchange> &exchange);
     std::string agentMetrics();
+    void watchTraces();
     void beginShutdown();
     void stopDoors();
     void waitForEnd();
@@ -92,6 +93,7 @@
     Millis shutdownLimit;
     bool shuttingDown = false;
     bool cutOff = false;
+    std::uint64_t loggedDropped = 0;
 };
 
 } // namespace quetzal
--- a/src/process/hostagent.cpp
+++ b/src/process/hostagent.cpp
@@ -18,6 +18,7 @@
 static constexpr Millis hostListPeriod = Millis(1000);
 static constexpr Millis hostListPatience = Millis(1000);
 static constexpr Millis reportRefreshPeriod = Millis(5000);
+static constexpr Millis selfCheckPeriod = Millis(500);
 static constexpr Millis controlLifetime = Millis(2000);
 static constexpr Millis replyLifetime = Millis(3000);
 static constexpr Millis chunkPatience = Millis(2000);
@@ -66,7 +67,11 @@
             = [this](HostId from, const std::string &payload) { this->onMessage(from, payload); };
     peerCallbacks.onUnresponsive = [this](HostId peer) { this->onUnresponsive(peer); };
     peerCallbacks.onResponsive = [this](HostId peer) { this->onResponsive(peer); };
-    peerCallbacks.onRestarted = [this](HostId peer) { this->onPeerLost(peer); };
+    peerCallbacks.onRestarted = [this](HostId peer) {
+        const MemberInfo *member = this->membership.find(peer);
+        logEvent(LogEvent::HostRestarted, "host=" + (member ? member->name : "unknown"));
+        this->onPeerLost(peer);
+    };
     this->link = std::make_unique<PeerLink>(loop, settings.peersAddress, this->ownInfo.id,
                                             this->ownInfo.incarnation, KeyRing(settings.keys),
                                             std::move(peerCallbacks));
@@ -79,6 +84,7 @@
     this->runMembership();
     this->runTables();
     this->refreshReports();
+    this->watchSelf();
 }
 
 void HostAgent::refreshReports()
@@ -552,6 +558,20 @@
     this->link->onPaused(SteadyClock::now());
 }
 
+void HostAgent::watchSelf()
+{
+    this->loop.schedule(SteadyClock::now() + selfCheckPeriod, [this] { this->watchSelf(); });
+    const AgentStatus now = this->status();
+    if (now.ready != this->loggedReady)
+        logEvent(now.ready ? LogEvent::Ready : LogEvent::NotReady,
+                 "host=" + this->settings.name
+                         + (now.ready ? "" : " reason=\"" + now.notReadyReason + "\""));
+    this->loggedReady = now.ready;
+    if (now.corruptChunks > this->loggedCorrupt)
+        logEvent(LogEvent::TablesCorrupt, "count=" + std::to_string(now.corruptChunks));
+    this->loggedCorrupt = now.corruptChunks;
+}
+
 AgentStatus HostAgent::status() const
 {
     AgentStatus status;
--- a/src/process/hostagent.h
+++ b/src/process/hostagent.h
@@ -95,6 +95,7 @@
     void onHostList(const std::string &body);
     void refreshPeers();
     void refreshReports();
+    void watchSelf();
     void sendAllReports(HostId peer);
     void publishWorld();
     bool amWatcher() const;
@@ -128,6 +129,8 @@
     Millis nextEligibleCheck;
     bool storeReachable = true;
     bool stopping = false;
+    bool loggedReady = false;
+    std::uint64_t loggedCorrupt = 0;
     Millis startedAt;
     Millis heardPeerAt;
     TimerId membershipTimer = 0;
--- a/src/request/entryhost.cpp
+++ b/src/request/entryhost.cpp
@@ -11,6 +11,9 @@
 static constexpr int statusUnavailable = 503;
 // Time kept back from the deadline for merging and answering.
 static constexpr Millis answerReserve = Millis(2);
+// A searcher whose latency is over this factor times the median of its peers is named in the log.
+static constexpr double outlierFactor = 3;
+static constexpr Millis outlierPeriod = Millis(10'000);
 static constexpr Millis defaultRetryAfter = Millis(1000);
 
 EntryHost::EntryHost(EntryContext context)
@@ -232,6 +235,7 @@
     Running &entry = this->running.at(id);
     const Millis now = SteadyClock::now();
     const Millis took = now - entry.query->startedAt();
+    this->checkOutliers();
     Metrics &metrics = this->context.metrics;
     metrics.add(Timing::Query, took);
     metrics.add(answer.outcome.succeeded() ? Counter::Answered : Counter::Failed);
@@ -310,6 +314,23 @@
         this->checkVersionConflicts(name, *state);
 }
 
+void EntryHost::checkOutliers()
+{
+    const Millis now = SteadyClock::now();
+    if (now < this->nextOutlierCheck)
+        return;
+    this->nextOutlierCheck = now + outlierPeriod;
+    for (const auto &[name, state] : this->pools) {
+        for (const SearcherId outlier : state->chooser.outliers(outlierFactor)) {
+            const auto world = this->context.world.read();
+            const auto place = world->searchers.find(outlier);
+            if (place != world->searchers.end())
+                logEvent(LogEvent::Outlier,
+                         "searcher=" + place->second.searcher->address + " pool=" + name);
+        }
+    }
+}
+
 void EntryHost::checkVersionConflicts(const std::string &pool, PoolState &state)
 {
     for (const VersionId version : state.book.conflicts())
--- a/src/request/entryhost.h
+++ b/src/request/entryhost.h
@@ -104,6 +104,7 @@
     void finish(QueryId id, const Answer &answer);
     void traceQuery(const Running &entry, const Answer &answer, Millis mergedAt);
     std::string newRequestId();
+    void checkOutliers();
     void checkVersionConflicts(const std::string &pool, PoolState &state);
 
     EntryContext context;
@@ -115,6 +116,7 @@
     std::unordered_map<SearcherId, SearcherReport> reports;
     std::uint64_t syncedGeneration = 0;
     bool stopping = false;
+    Millis nextOutlierCheck;
 };
 
 } // namespace quetzal
--- a/src/version/tablesync.cpp
+++ b/src/version/tablesync.cpp
@@ -3,6 +3,7 @@
 #include "version/codec.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace quetzal {
 
@@ -97,6 +98,9 @@
         return;
     }
     this->pendingAskedAt = now;
+    const double doubled = std::pow(2.0, std::min(this->pendingTries, 10));
+    this->pendingWait = std::min(this->times.longestPendingWait, this->times.patience * doubled)
+                        * this->jitter();
     const bool fromStore = this->pendingPeer == theStore || this->pendingTries >= peerTries;
     this->pendingTries += 1;
     if (lacking.size() > chunksPerRequest)
@@ -184,6 +188,11 @@
     this->nextCallAt = now + (this->watcher ? Millis(20) : this->times.slowCheck) * this->jitter();
     if (!bytes.empty())
         this->adopt(theStore, bytes, now, out);
+    // The store is back: what waits for chunks need not wait longer.
+    if (this->pending && this->pendingTries > peerTries) {
+        this->pendingTries = peerTries;
+        this->askForMissing(now, out);
+    }
 }
 
 void TableSync::callStore(Millis now, SyncActions &out)
@@ -206,7 +215,7 @@
         this->onStoreManifest(false, 0, {}, now, out);
     if (!this->callOpen && now >= this->nextCallAt)
         this->callStore(now, out);
-    if (this->pending && now >= this->pendingAskedAt + this->times.patience)
+    if (this->pending && now >= this->pendingAskedAt + this->pendingWait)
         this->askForMissing(now, out);
 }
 
@@ -215,7 +224,7 @@
     Millis next = this->callOpen ? this->callSentAt + this->times.watch + this->times.patience * 2
                                  : this->nextCallAt;
     if (this->pending)
-        next = std::min(next, this->pendingAskedAt + this->times.patience);
+        next = std::min(next, this->pendingAskedAt + this->pendingWait);
     return next;
 }
 
--- a/src/version/tablesync.h
+++ b/src/version/tablesync.h
@@ -50,6 +50,8 @@
     Millis patience = Millis(800);
     Millis firstBackOff = Millis(500);
     Millis longestBackOff = Millis(4'000);
+    // Longest time between two requests for the chunks of one revision.
+    Millis longestPendingWait = Millis(30'000);
 };
 
 // Learns of new revisions from the store's watch and from peers' heartbeats, fetches the chunks
@@ -117,6 +119,7 @@
     // Chunks asked for that have not arrived.
     std::size_t pendingOutstanding = 0;
     Millis pendingAskedAt;
+    Millis pendingWait;
     // A peer's revision that was asked for and has not arrived.
     Revision wanted;
     Millis wantedAt;
--- /dev/null
+++ b/tests/channeltest.cpp
@@ -0,0 +1,95 @@
+// Messages between hosts: once each, in spite of loss, doubles and restarts.
+#include "connection/channel.h"
+#include "connection/frame.h"
+
+#include <doctest/doctest.h>
+
+using namespace quetzal;
+
+namespace {
+
+struct Pair
+{
+    Channel one{ { 1 }, { 10 }, Millis(8) };
+    Channel two{ { 2 }, { 20 }, Millis(8) };
+
+    Pair()
+    {
+        this->one.setPeerIncarnation({ 20 });
+        this->two.setPeerIncarnation({ 10 });
+    }
+};
+
+} // namespace
+
+TEST_CASE("a doubled datagram is delivered once")
+{
+    Pair p;
+    const ChannelDatagram sent = p.one.send("work", Millis(0), Millis(100));
+    CHECK(p.two.onReceive(sent.header, Millis(4)) == Channel::Receipt::Deliver);
+    CHECK(p.two.onReceive(sent.header, Millis(5)) == Channel::Receipt::Duplicate);
+}
+
+TEST_CASE("a lost datagram is sent again until acknowledged, and not after its expiry")
+{
+    Pair p;
+    p.one.send("work", Millis(0), Millis(500));
+    const Millis due = p.one.nextTimer();
+    const auto again = p.one.onTimer(due);
+    REQUIRE(again.size() == 1);
+    CHECK(p.two.onReceive(again[0].header, due + Millis(4)) == Channel::Receipt::Deliver);
+    CHECK(p.two.ackDue());
+    p.one.onReceive(p.two.makeAck().header, due + Millis(8));
+    CHECK(p.one.unacknowledged() == 0);
+    p.one.send("late", Millis(600), Millis(700));
+    CHECK(p.one.onTimer(Millis(700)).empty());
+    CHECK(p.one.unacknowledged() == 0);
+}
+
+TEST_CASE("a restarted receiver runs no retransmission meant for its earlier life")
+{
+    Pair p;
+    const ChannelDatagram sent = p.one.send("work", Millis(0), Millis(500));
+    Channel reborn({ 2 }, { 21 }, Millis(8));
+    CHECK(reborn.onReceive(sent.header, Millis(9)) == Channel::Receipt::WrongIncarnation);
+    // The sender learns of the new life and drops what was meant for the old one.
+    p.one.onReceive(reborn.makeAck().header, Millis(13));
+    CHECK(p.one.unacknowledged() == 0);
+}
+
+TEST_CASE("datagrams of an earlier life of the sender are void")
+{
+    Pair p;
+    const ChannelDatagram old = p.one.send("work", Millis(0), Millis(500));
+    Channel reborn({ 1 }, { 11 }, Millis(8));
+    reborn.setPeerIncarnation({ 20 });
+    const ChannelDatagram fresh = reborn.send("new", Millis(5), Millis(500));
+    CHECK(p.two.onReceive(fresh.header, Millis(9)) == Channel::Receipt::Deliver);
+    CHECK(p.two.onReceive(old.header, Millis(10)) == Channel::Receipt::WrongIncarnation);
+}
+
+TEST_CASE("a peer that acknowledges nothing is unresponsive")
+{
+    Pair p;
+    p.one.send("work", Millis(0), Millis(5000));
+    CHECK_FALSE(p.one.isUnresponsive(Millis(100)));
+    CHECK(p.one.isUnresponsive(Millis(400)));
+}
+
+TEST_CASE("a forged, altered or foreign frame is not opened; a retired key may still be used")
+{
+    const KeyRing old({ { 1, "the-first-secret-key" } });
+    const KeyRing rotating({ { 2, "the-second-secret-key" }, { 1, "the-first-secret-key" } });
+    const KeyRing rotated({ { 2, "the-second-secret-key" } });
+    const std::string frame = old.seal(FrameKind::Channel, "body");
+    REQUIRE(rotating.open(frame));
+    CHECK(rotating.open(frame)->body == "body");
+    CHECK_FALSE(old.open(rotating.seal(FrameKind::Heartbeat, "x")));
+    CHECK_FALSE(rotated.open(frame));
+    for (std::size_t i = 0; i < frame.size(); ++i) {
+        std::string altered = frame;
+        altered[i] = static_cast<char>(altered[i] ^ 1);
+        CHECK_FALSE(old.open(altered));
+        CHECK_FALSE(old.open(frame.substr(0, i)));
+    }
+}
--- /dev/null
+++ b/tests/iotest.cpp
@@ -0,0 +1,201 @@
+// The parts that touch sockets: HTTP in and out, settings, and the catalogue of events.
+#include "connection/httpclient.h"
+#include "connection/httpreader.h"
+#include "connection/httpserver.h"
+#include "process/eventlog.h"
+#include "process/settings.h"
+#include "process/tracing.h"
+#include "quetzal/steadyclock.h"
+#include "request/callerrequest.h"
+#include "request/hitjson.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <doctest/doctest.h>
+
+using namespace quetzal;
+
+namespace {
+
+using RequestReader = HttpReader<Poco::Net::HTTPRequest>;
+
+int errorFor(const std::string &bytes)
+{
+    RequestReader reader({ 200, 100 });
+    reader.feed(bytes);
+    CHECK_FALSE(reader.next());
+    return reader.errorStatus();
+}
+
+Tables oneRoute()
+{
+    Tables tables;
+    Route route;
+    route.name = "search";
+    route.pathPrefix = "/search";
+    route.deadline = Millis(300);
+    tables.routes.push_back(route);
+    return tables;
+}
+
+RequestProblem problemOf(const std::string &target, const std::string &field = "",
+                         const std::string &value = "")
+{
+    HttpRequest request;
+    request.head.setMethod("GET");
+    request.head.setURI(target);
+    if (!field.empty())
+        request.head.set(field, value);
+    const CheckedRequest checked = checkRequest(request, oneRoute(), "id");
+    return checked.problem.value_or(RequestProblem{ 200, Fault::None, "" });
+}
+
+} // namespace
+
+TEST_CASE("requests are cut out of any split of the bytes, one after the other")
+{
+    const std::string bytes = "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
+                              "GET /b HTTP/1.1\r\n\r\n";
+    for (std::size_t split = 0; split < bytes.size(); ++split) {
+        RequestReader reader({ 200, 100 });
+        reader.feed(std::string_view(bytes).substr(0, split));
+        std::vector<HttpRequest> found;
+        while (auto request = reader.next())
+            found.push_back(std::move(*request));
+        reader.feed(std::string_view(bytes).substr(split));
+        while (auto request = reader.next())
+            found.push_back(std::move(*request));
+        REQUIRE(found.size() == 2);
+        CHECK(found[0].body == "abc");
+        CHECK(found[1].head.getURI() == "/b");
+    }
+}
+
+TEST_CASE("abusive heads and lengths are refused with a clear status")
+{
+    CHECK(errorFor("GET / HTTP/1.1\r\nX: " + std::string(300, 'a') + "\r\n\r\n") == 431);
+    CHECK(errorFor(std::string(300, 'a')) == 431);
+    CHECK(errorFor("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n") == 413);
+    CHECK(errorFor("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n") == 400);
+    CHECK(errorFor("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n") == 400);
+    CHECK(errorFor("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n") == 411);
+}
+
+TEST_CASE("a caller's mistakes are named")
+{
+    CHECK(problemOf("/other").status == 404);
+    CHECK(problemOf("/searching").status == 404);
+    CHECK(problemOf("/search?limit=0").status == 400);
+    CHECK(problemOf("/search?limit=ten").text.find("\"ten\"") != std::string::npos);
+    CHECK(problemOf("/search?version=x").status == 400);
+    CHECK(problemOf("/search", "X-Quetzal-Deadline-Ms", "-5").status == 400);
+    CHECK(problemOf("/search", "X-Quetzal-Deadline-Ms", "nan").status == 400);
+    CHECK(problemOf("/search", "X-Quetzal-Request-Id", "a b").status == 400);
+    CHECK(problemOf("/search?q=" + std::string(9000, 'a')).status == 414);
+    CHECK(problemOf("/search?limit=5&version=3").status == 200);
+}
+
+TEST_CASE("searchers' answers with missing or wrong fields are not taken")
+{
+    CHECK(parseSearchReply(R"({"version":1,"partitions":2,"shard":0,"documents":5,"hits":[]})"));
+    CHECK_FALSE(parseSearchReply(R"({"version":1,"shard":0,"documents":5,"hits":[]})"));
+    CHECK_FALSE(
+            parseSearchReply(R"({"version":1,"partitions":2,"shard":0,"documents":5,"hits":[3]})"));
+    CHECK_FALSE(parseSearchReply(R"({"version":-1,"partitions":2,"shard":0,"hits":[]})"));
+    CHECK_FALSE(parseSearchReply("[]"));
+    CHECK_FALSE(parseSearchReply(""));
+    CHECK_FALSE(parseStatus("{\"holdings\":[{}]}"));
+}
+
+TEST_CASE("an answer longer than the kernel's buffers arrives whole")
+{
+    EventLoop loop;
+    const std::string large(12'000'000, 'x');
+    const auto server = HttpServer::listen(loop, Poco::Net::SocketAddress("127.0.0.1", 0),
+                                           HttpServerOptions(),
+                                           [&](const std::shared_ptr<HttpExchange> &exchange) {
+                                               exchange->respond(200, {}, large);
+                                           });
+    std::shared_ptr<HttpClient> client;
+    std::size_t received = 0;
+    HttpClientCallbacks callbacks;
+    callbacks.onConnected = [&] { client->send("GET", "/", { { "Connection", "close" } }, ""); };
+    callbacks.onResponse = [&](const HttpResponse &response) {
+        received = response.body.size();
+        loop.stop();
+    };
+    callbacks.onClosed = [&](bool) { loop.stop(); };
+    client = HttpClient::connect(loop, server->address().toString(), callbacks);
+    loop.run();
+    CHECK(received == large.size());
+}
+
+TEST_CASE("a client that closes its connection in the middle of a call is let go safely")
+{
+    EventLoop loop;
+    const auto server = HttpServer::listen(
+            loop, Poco::Net::SocketAddress("127.0.0.1", 0), HttpServerOptions(),
+            [](const std::shared_ptr<HttpExchange> &exchange) { exchange->respond(200, {}, "a"); });
+    std::shared_ptr<HttpClient> client;
+    bool answered = false;
+    HttpClientCallbacks callbacks;
+    callbacks.onConnected = [&] { client->send("GET", "/", {}, ""); };
+    callbacks.onResponse = [&, kept = std::make_shared<int>(7)](const HttpResponse &) {
+        client->close();
+        client.reset();
+        answered = *kept == 7;
+        loop.stop();
+    };
+    client = HttpClient::connect(loop, server->address().toString(), callbacks);
+    loop.run();
+    CHECK(answered);
+}
+
+TEST_CASE("settings are checked field by field")
+{
+    const std::string valid = R"(host: { name: a, zone: kigali-1 }
+listen: { callers: "127.0.0.1:1", admin: "127.0.0.1:2", peers: "127.0.0.1:3" }
+platform: { store: "127.0.0.1:4", hosts: "127.0.0.1:5" }
+keys: [ { number: 1, secret: "a-long-enough-secret" } ]
+)";
+    CHECK(parseSettings("s.yaml", valid).ok());
+    const auto broken = [&](const std::string &part, const std::string &by) {
+        std::string text = valid;
+        text.replace(text.find(part), part.size(), by);
+        const auto parsed = parseSettings("s.yaml", text);
+        return parsed.errors.empty() ? std::string() : parsed.errors.front();
+    };
+    CHECK(broken("zone: kigali-1", "zon: kigali-1").starts_with("s.yaml:1: host: unknown field"));
+    CHECK(broken("127.0.0.1:2", "nowhere").starts_with("s.yaml:2: listen: admin"));
+    CHECK(broken("a-long-enough-secret", "short").starts_with("s.yaml:4: key: secret"));
+    CHECK_FALSE(parseSettings("s.yaml", "[").ok());
+    CHECK_FALSE(parseSettings("s.yaml", "").ok());
+}
+
+TEST_CASE("a traceparent is read and written alike, a malformed one is not read")
+{
+    const std::string header = "00-0123456789abcdef0123456789abcdef-0123456789abcdef-01";
+    const auto context = parseTraceparent(header);
+    REQUIRE(context);
+    CHECK(formatTraceparent(*context) == header);
+    CHECK_FALSE(parseTraceparent("00-xyz"));
+    CHECK_FALSE(parseTraceparent("00-0123456789abcdeg0123456789abcdef-0123456789abcdef-01"));
+}
+
+TEST_CASE("every event stands in the catalogue with its number and name")
+{
+    std::ifstream file(std::string(QUETZAL_SOURCE_DIR) + "/docs/EVENTS.md");
+    std::stringstream text;
+    text << file.rdbuf();
+    std::size_t rows = 0;
+    for (const LogEventInfo &event : logEvents) {
+        const std::string row
+                = "| QZ" + std::to_string(event.number) + " | " + std::string(event.name) + " |";
+        CHECK_MESSAGE(text.str().find(row) != std::string::npos, row);
+    }
+    for (std::size_t at = text.str().find("| QZ"); at != std::string::npos;
+         at = text.str().find("| QZ", at + 1))
+        ++rows;
+    CHECK(rows == logEvents.size());
+}
--- /dev/null
+++ b/tests/membershiptest.cpp
@@ -0,0 +1,110 @@
+// Membership and ownership in virtual time.
+#include "bench/virtual/virtualfleet.h"
+#include "process/ownership.h"
+
+#include <doctest/doctest.h>
+
+using namespace quetzal;
+
+namespace {
+
+FleetSetup smallFleet()
+{
+    FleetSetup setup;
+    setup.hosts = 8;
+    setup.zones = 3;
+    setup.searchers = 10;
+    setup.farDelay = Millis(4);
+    return setup;
+}
+
+constexpr std::uint32_t othersCount = 7;
+
+} // namespace
+
+TEST_CASE("without faults nobody is suspected for long, in spite of loss")
+{
+    FleetSetup setup = smallFleet();
+    setup.loss = 0.1;
+    VirtualFleet fleet(setup);
+    fleet.runUntil(Millis(60'000));
+    for (std::uint32_t host = 0; host < setup.hosts; ++host)
+        CHECK(fleet.believersOfDeath(host) == 0);
+}
+
+TEST_CASE("a dead host is known to be dead everywhere, and its next life to be alive")
+{
+    VirtualFleet fleet(smallFleet());
+    fleet.runUntil(Millis(5000));
+    fleet.killHost(2);
+    fleet.runUntil(Millis(15'000));
+    CHECK(fleet.believersOfDeath(2) == othersCount);
+    fleet.startHost(2);
+    fleet.runUntil(Millis(20'000));
+    CHECK(fleet.believersOfDeath(2) == 0);
+    CHECK(fleet.hostsCurrent() == fleet.hostsUp());
+}
+
+TEST_CASE("after a zone was cut off, all hosts find each other and the newest tables again")
+{
+    VirtualFleet fleet(smallFleet());
+    fleet.runUntil(Millis(5000));
+    fleet.setZoneCut(1, true);
+    fleet.runUntil(Millis(15'000));
+    fleet.edit();
+    fleet.runUntil(Millis(20'000));
+    CHECK(fleet.hostsCurrent() < fleet.hostsUp());
+    fleet.setZoneCut(1, false);
+    fleet.runUntil(Millis(30'000));
+    CHECK(fleet.hostsCurrent() == fleet.hostsUp());
+    CHECK(fleet.aliveSeenBy(1) == othersCount);
+    CHECK(fleet.stepsBack() == 0);
+}
+
+TEST_CASE("a host that starts during a store outage takes the tables from its peers")
+{
+    VirtualFleet fleet(smallFleet());
+    fleet.runUntil(Millis(5000));
+    fleet.setStoreUp(false);
+    fleet.killHost(4);
+    fleet.runUntil(Millis(8000));
+    fleet.startHost(4);
+    fleet.runUntil(Millis(14'000));
+    CHECK(fleet.hostsCurrent() == fleet.hostsUp());
+}
+
+TEST_CASE("half of the fleet restarting at once leaves everybody alive and current")
+{
+    VirtualFleet fleet(smallFleet());
+    fleet.runUntil(Millis(5000));
+    for (const std::uint32_t host : { 0U, 2U, 4U, 6U })
+        fleet.killHost(host);
+    fleet.runUntil(Millis(5500));
+    for (const std::uint32_t host : { 0U, 2U, 4U, 6U })
+        fleet.startHost(host);
+    fleet.runUntil(Millis(12'000));
+    for (std::uint32_t host = 0; host < 8; ++host)
+        CHECK(fleet.believersOfDeath(host) == 0);
+    CHECK(fleet.hostsCurrent() == fleet.hostsUp());
+}
+
+TEST_CASE("ownership moves only the searchers of the host that left, within the zone")
+{
+    std::vector<OwnerCandidate> hosts;
+    for (std::uint64_t i = 1; i <= 9; ++i)
+        hosts.push_back({ { i }, stableHash("zone-" + std::to_string(i % 3)) });
+    const Ownership before(hosts);
+    std::vector<OwnerCandidate> fewer = hosts;
+    fewer.erase(fewer.begin());
+    const Ownership after(fewer);
+    for (std::uint64_t i = 1; i <= 1000; ++i) {
+        const HostId was = before.ownerOf({ i }, "zone-1");
+        const HostId is = after.ownerOf({ i }, "zone-1");
+        CHECK(was.value % 3 == 1);
+        if (was != HostId{ 1 })
+            CHECK(was == is);
+    }
+    // A zone without hosts is served by the others.
+    CHECK(before.ownerOf({ 5 }, "zone-9") != HostId());
+    CHECK(Ownership().ownerOf({ 5 }, "zone-1") == HostId());
+}
--- /dev/null
+++ b/tests/searcherqueuetest.cpp
@@ -0,0 +1,205 @@
+// The relay's side of one searcher: slots, deadlines, silence, drain, pauses.
+#include "connection/searcherqueue.h"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+using namespace quetzal;
+
+namespace {
+
+// Drives one queue and answers its requests for connections at once.
+struct Driver
+{
+    SearcherQueue queue{ { 2, 25, Millis(6) }, RelayOptions() };
+    RelayActions actions;
+    std::uint64_t lastWork = 0;
+
+    WorkKey submit(Millis now, Millis deadline, bool repeatable = true)
+    {
+        const WorkKey key = { { 1 }, { { ++this->lastWork }, 0 } };
+        this->queue.submit({ key, deadline, repeatable }, now, this->actions);
+        this->connectAll(now);
+        return key;
+    }
+
+    void connectAll(Millis now)
+    {
+        for (std::size_t i = 0; i < this->actions.size(); ++i) {
+            if (this->actions[i].kind == RelayActionKind::Open)
+                this->queue.onConnected(this->actions[i].connection, now, this->actions);
+        }
+    }
+
+    const RelayAction *find(RelayActionKind kind) const
+    {
+        const auto found = std::find_if(this->actions.begin(), this->actions.end(),
+                                        [kind](const RelayAction &a) { return a.kind == kind; });
+        return found == this->actions.end() ? nullptr : &*found;
+    }
+
+    std::size_t count(RelayActionKind kind) const
+    {
+        return static_cast<std::size_t>(
+                std::count_if(this->actions.begin(), this->actions.end(),
+                              [kind](const RelayAction &a) { return a.kind == kind; }));
+    }
+};
+
+} // namespace
+
+TEST_CASE("no more requests run than the searcher has slots, nor connections than slots and spare")
+{
+    Driver d;
+    for (int i = 0; i < 6; ++i)
+        d.submit(Millis(0), Millis(300));
+    CHECK(d.count(RelayActionKind::Send) == 2);
+    CHECK(d.queue.connectionCount() <= 3);
+    CHECK(d.queue.load().queued == 4);
+}
+
+TEST_CASE("the earliest deadline is served first, and expired work is never started")
+{
+    Driver d;
+    d.submit(Millis(0), Millis(300));
+    d.submit(Millis(0), Millis(300));
+    const WorkKey late = d.submit(Millis(0), Millis(290));
+    const WorkKey soon = d.submit(Millis(0), Millis(100));
+    const WorkKey tooSoon = d.submit(Millis(0), Millis(20));
+    const ConnectionNumber first = d.find(RelayActionKind::Send)->connection;
+    d.actions.clear();
+    d.queue.onReply(first, Millis(30), d.actions);
+    REQUIRE(d.find(RelayActionKind::Report));
+    CHECK(d.find(RelayActionKind::Report)->work == tooSoon);
+    CHECK(d.find(RelayActionKind::Report)->outcome.verdict == Verdict::NotRun);
+    REQUIRE(d.find(RelayActionKind::Send));
+    CHECK(d.find(RelayActionKind::Send)->work == soon);
+    CHECK(d.find(RelayActionKind::Send)->work != late);
+}
+
+TEST_CASE("work that cannot be answered in time is refused at once")
+{
+    Driver d;
+    d.submit(Millis(0), Millis(300));
+    const ConnectionNumber connection = d.find(RelayActionKind::Send)->connection;
+    d.queue.onReply(connection, Millis(50), d.actions);
+    d.actions.clear();
+    d.submit(Millis(60), Millis(70));
+    REQUIRE(d.find(RelayActionKind::Report));
+    CHECK(d.find(RelayActionKind::Report)->outcome.code == Fault::DeadlineTooShort);
+    CHECK(d.find(RelayActionKind::Report)->outcome.verdict == Verdict::NotRun);
+}
+
+TEST_CASE("a reset after the first byte may have run; before it the work goes on elsewhere")
+{
+    Driver d;
+    d.submit(Millis(0), Millis(300));
+    const ConnectionNumber connection = d.find(RelayActionKind::Send)->connection;
+    d.actions.clear();
+    SUBCASE("bytes were sent")
+    {
+        d.queue.onClosed(connection, true, Millis(5), d.actions);
+        REQUIRE(d.find(RelayActionKind::Report));
+        CHECK(d.find(RelayActionKind::Report)->outcome.verdict == Verdict::MayHaveRun);
+    }
+    SUBCASE("nothing was sent")
+    {
+        d.queue.onClosed(connection, false, Millis(5), d.actions);
+        CHECK(d.find(RelayActionKind::Report) == nullptr);
+        CHECK(d.count(RelayActionKind::Send) == 1);
+    }
+}
+
+TEST_CASE("a cancelled request that may not be repeated is left to run once it was sent")
+{
+    Driver d;
+    const WorkKey sent = d.submit(Millis(0), Millis(300), false);
+    d.submit(Millis(0), Millis(300), false);
+    const WorkKey queued = d.submit(Millis(0), Millis(300), false);
+    d.actions.clear();
+    d.queue.cancel(sent, Millis(5), d.actions);
+    CHECK(d.actions.empty());
+    d.queue.cancel(queued, Millis(5), d.actions);
+    REQUIRE(d.actions.size() == 1);
+    CHECK(d.actions[0].outcome.verdict == Verdict::NotRun);
+}
+
+TEST_CASE("when old connections are silent and a new one answers, the old ones are retired")
+{
+    Driver d;
+    d.submit(Millis(0), Millis(900));
+    d.actions.clear();
+    d.queue.onTimer(d.queue.nextTimer(), d.actions);
+    const Millis begun(60);
+    REQUIRE(d.count(RelayActionKind::Probe) == 1);
+    REQUIRE(d.find(RelayActionKind::Open));
+    const ConnectionNumber fresh = d.find(RelayActionKind::Open)->connection;
+    d.actions.clear();
+    d.queue.onConnected(fresh, begun + Millis(6), d.actions);
+    d.queue.onProbeReply(fresh, begun + Millis(8), d.actions);
+    d.actions.clear();
+    d.queue.onTimer(d.queue.nextTimer(), d.actions);
+    REQUIRE(d.find(RelayActionKind::Report));
+    CHECK(d.find(RelayActionKind::Report)->outcome.code == Fault::SilentConnection);
+    CHECK(d.find(RelayActionKind::Report)->outcome.verdict == Verdict::MayHaveRun);
+    CHECK(d.queue.silentConnections() >= 2);
+}
+
+TEST_CASE("a slow searcher whose old idle connection answers is not taken for silent")
+{
+    Driver d;
+    d.submit(Millis(0), Millis(900));
+    d.actions.clear();
+    d.queue.onTimer(d.queue.nextTimer(), d.actions);
+    const ConnectionNumber old = d.find(RelayActionKind::Probe)->connection;
+    const ConnectionNumber fresh = d.find(RelayActionKind::Open)->connection;
+    d.queue.onProbeReply(old, Millis(61), d.actions);
+    d.queue.onConnected(fresh, Millis(66), d.actions);
+    d.queue.onProbeReply(fresh, Millis(68), d.actions);
+    CHECK(d.find(RelayActionKind::Report) == nullptr);
+    CHECK(d.queue.silentConnections() == 0);
+}
+
+TEST_CASE("a draining searcher gets no new work, and after a pause nothing queued is started")
+{
+    Driver d;
+    for (int i = 0; i < 3; ++i)
+        d.submit(Millis(0), Millis(5000));
+    d.actions.clear();
+    SUBCASE("drain")
+    {
+        d.queue.setDraining(true, Millis(10), d.actions);
+        REQUIRE(d.find(RelayActionKind::Report));
+        CHECK(d.find(RelayActionKind::Report)->outcome.code == Fault::Draining);
+        d.actions.clear();
+        d.submit(Millis(11), Millis(5000));
+        CHECK(d.find(RelayActionKind::Send) == nullptr);
+    }
+    SUBCASE("pause")
+    {
+        d.queue.onPaused(Millis(3000), d.actions);
+        REQUIRE(d.find(RelayActionKind::Report));
+        CHECK(d.find(RelayActionKind::Report)->outcome.code == Fault::ProcessPaused);
+        CHECK(d.find(RelayActionKind::Report)->outcome.verdict == Verdict::NotRun);
+    }
+}
+
+TEST_CASE("while a searcher refuses connections its work is refused at once")
+{
+    SearcherQueue queue({ 2, 25, Millis(6) }, RelayOptions());
+    RelayActions actions;
+    queue.submit({ { { 1 }, { { 1 }, 0 } }, Millis(300), true }, Millis(0), actions);
+    std::vector<ConnectionNumber> opened;
+    for (const RelayAction &action : actions) {
+        if (action.kind == RelayActionKind::Open)
+            opened.push_back(action.connection);
+    }
+    for (const ConnectionNumber number : opened)
+        queue.onConnectFailed(number, Millis(1), actions);
+    actions.clear();
+    queue.submit({ { { 1 }, { { 2 }, 0 } }, Millis(300), true }, Millis(2), actions);
+    REQUIRE(actions.size() == 1);
+    CHECK(actions[0].outcome.code == Fault::ConnectFailed);
+    CHECK(actions[0].outcome.verdict == Verdict::NotRun);
+}
--- /dev/null
+++ b/tests/tablestest.cpp
@@ -0,0 +1,245 @@
+// Tables: validation, chunks, concurrent edits, lost replies, and how a host keeps to them.
+#include "bench/virtual/fakestore.h"
+#include "version/tableeditor.h"
+#include "version/tablesync.h"
+
+#include <doctest/doctest.h>
+
+using namespace quetzal;
+
+namespace {
+
+constexpr const char *routesText = R"(routes:
+  - name: search
+    match: { methods: [GET], path: /search }
+    pool: shopfront
+    deadline_ms: 300
+)";
+
+constexpr const char *poolsText = R"(zones: [kigali-1]
+pools:
+  - name: shopfront
+    shards: 2
+    slots: 2
+    connection_cap: 25
+    searchers:
+      - { address: "10.0.0.1:9000", zone: kigali-1, shard: 0 }
+      - { address: "10.0.0.2:9000", zone: kigali-1, shard: 1 }
+)";
+
+TableFiles files()
+{
+    const auto parsed = parseTables("routes.yaml", routesText, "pools.yaml", poolsText);
+    REQUIRE(parsed.ok());
+    return parsed.value;
+}
+
+// Replaces a part of the pools file and returns the first error.
+std::string errorAfter(const std::string &part, const std::string &by)
+{
+    std::string text = poolsText;
+    text.replace(text.find(part), part.size(), by);
+    const auto parsed = parseTables("routes.yaml", routesText, "pools.yaml", text);
+    return parsed.errors.empty() ? "" : parsed.errors.front();
+}
+
+} // namespace
+
+TEST_CASE("errors in the tables name file, line, entry and field")
+{
+    CHECK(errorAfter("zone: kigali-1, shard: 0", "zone: kigali-9, shard: 0")
+          == "pools.yaml:8: pool \"shopfront\": searcher 10.0.0.1:9000: zone \"kigali-9\" does not "
+             "exist");
+    CHECK(errorAfter("10.0.0.2:9000", "10.0.0.1:9000")
+          == "pools.yaml:9: pool \"shopfront\": searcher 10.0.0.1:9000: address is used twice");
+    CHECK(errorAfter("shard: 1 }", "shard: 0 }")
+          == "pools.yaml:3: pool \"shopfront\": shard 1 has no searcher");
+    CHECK(errorAfter("10.0.0.2:9000", "searcher.example:9000").find("must be an IP number")
+          != std::string::npos);
+    CHECK(errorAfter("slots: 2", "slots: two").find("slots \"two\"") != std::string::npos);
+    CHECK(errorAfter("name: shopfront", "name: other")
+          == "routes.yaml:4: route \"search\": pool \"shopfront\" does not exist");
+    CHECK(errorAfter("slots: 2", "slotz: 2").find("unknown field \"slotz\"") != std::string::npos);
+    const auto broken = parseTables("routes.yaml", "routes: []", "pools.yaml", "pools: [");
+    REQUIRE_FALSE(broken.ok());
+    CHECK(broken.errors.front().starts_with("pools.yaml:"));
+}
+
+TEST_CASE("tables survive writing and chunking, and a corrupt chunk is noticed")
+{
+    const TableFiles original = files();
+    const auto again = parseTables("r", formatRoutes(original.routes), "p",
+                                   formatPools(original.zones, original.pools));
+    REQUIRE(again.ok());
+    CHECK(again.value.routes == original.routes);
+    CHECK(again.value.pools == original.pools);
+    ChunkMap chunks = splitTables(original);
+    Manifest manifest;
+    manifest.zones = original.zones;
+    for (const auto &[hash, bytes] : chunks)
+        manifest.chunks.push_back(hash);
+    REQUIRE(joinTables(manifest, chunks));
+    CHECK(joinTables(manifest, chunks)->pools == original.pools);
+    chunks.begin()->second[3] ^= 1;
+    CHECK_FALSE(joinTables(manifest, chunks));
+}
+
+TEST_CASE("edits of different entries are rebased, of the same entry the second is refused")
+{
+    FakeStore store(1);
+    TableEditor<FakeStore> editor(store, 1);
+    const TableFiles base = files();
+    REQUIRE(editor.apply(base, std::nullopt, {}).status == EditStatus::Accepted);
+    TableFiles first = base;
+    first.pools[0].searchers[0].slots = 3;
+    TableFiles second = base;
+    second.pools[0].searchers[1].slots = 4;
+    TableFiles third = base;
+    third.pools[0].searchers[0].slots = 5;
+    CHECK(editor.apply(first, base, {}).status == EditStatus::Accepted);
+    CHECK(editor.apply(second, base, {}).status == EditStatus::Accepted);
+    const EditResult refused = editor.apply(third, base, {});
+    CHECK(refused.status == EditStatus::Conflict);
+    REQUIRE(refused.problems.size() == 1);
+    CHECK(refused.problems[0] == "searcher 10.0.0.1:9000");
+    StoredManifest stored;
+    REQUIRE(editor.readManifest(stored) == StoreStatus::Ok);
+    const auto final = editor.readTables(stored.manifest);
+    REQUIRE(final);
+    CHECK(final->pools[0].searchers[0].slots == 3);
+    CHECK(final->pools[0].searchers[1].slots == 4);
+}
+
+TEST_CASE("an edit whose replies are lost is accepted once, in a store that is down not at all")
+{
+    FakeStore store(7);
+    TableEditor<FakeStore> editor(store, 1);
+    REQUIRE(editor.apply(files(), std::nullopt, {}).status == EditStatus::Accepted);
+    store.lost = 0.3;
+    for (std::uint32_t slots = 3; slots < 30; ++slots) {
+        TableFiles next = files();
+        next.pools[0].searchers[0].slots = slots;
+        const EditResult result = editor.apply(next, std::nullopt, {});
+        REQUIRE(result.status == EditStatus::Accepted);
+    }
+    store.lost = 0;
+    StoredManifest stored;
+    REQUIRE(editor.readManifest(stored) == StoreStatus::Ok);
+    CHECK(stored.manifest.revision == Revision{ 28 });
+    store.down = true;
+    CHECK(editor.apply(files(), std::nullopt, {}).status == EditStatus::Unavailable);
+}
+
+TEST_CASE("removing old chunks cannot take one that a slower editor is about to name")
+{
+    FakeStore store(1);
+    TableEditor<FakeStore> editor(store, 1);
+    TableEditor<FakeStore> collector(store, 2);
+    const TableFiles original = files();
+    TableFiles other = original;
+    other.pools[0].searchers[0].slots = 9;
+    REQUIRE(editor.apply(original, std::nullopt, {}).status == EditStatus::Accepted);
+    REQUIRE(editor.apply(other, std::nullopt, {}).status == EditStatus::Accepted);
+    // While the editor goes back to the first tables, whose chunks are unreferenced, a removal
+    // falls between any two of its calls.
+    for (int gap = 0; gap < 12; ++gap) {
+        int call = 0;
+        store.beforeCall = [&] {
+            if (call++ == gap)
+                collector.collect(1);
+        };
+        const TableFiles &wanted = gap % 2 == 0 ? original : other;
+        REQUIRE(editor.apply(wanted, std::nullopt, {}).status == EditStatus::Accepted);
+        store.beforeCall = nullptr;
+        StoredManifest stored;
+        REQUIRE(editor.readManifest(stored) == StoreStatus::Ok);
+        const auto final = editor.readTables(stored.manifest);
+        REQUIRE(final);
+        CHECK(final->pools == wanted.pools);
+    }
+}
+
+namespace {
+
+// A manifest of a revision, with its chunks.
+struct Published
+{
+    std::string bytes;
+    ChunkMap chunks;
+
+    explicit Published(std::uint64_t revision)
+    {
+        TableFiles tables = files();
+        tables.pools[0].searchers[0].slots = static_cast<std::uint32_t>(revision);
+        this->chunks = splitTables(tables);
+        Manifest manifest;
+        manifest.revision = { revision };
+        manifest.zones = tables.zones;
+        for (const auto &[hash, chunk] : this->chunks)
+            manifest.chunks.push_back(hash);
+        this->bytes = encode(manifest);
+    }
+
+    void give(TableSync &sync, HostId peer, Millis now, SyncActions &actions) const
+    {
+        sync.onManifest(peer, this->bytes, now, actions);
+        for (const auto &[hash, chunk] : this->chunks)
+            sync.onChunk(hash, chunk, now, actions);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a host never goes back to a lower revision, whoever offers it")
+{
+    TableSync sync(SyncTimes(), 1);
+    SyncActions actions;
+    Published(5).give(sync, { 1 }, Millis(0), actions);
+    CHECK(sync.revision() == Revision{ 5 });
+    Published(4).give(sync, { 2 }, Millis(1), actions);
+    CHECK(sync.revision() == Revision{ 5 });
+    sync.onStoreManifest(true, 3, Published(4).bytes, Millis(2), actions);
+    CHECK(sync.revision() == Revision{ 5 });
+}
+
+TEST_CASE("a corrupt chunk is dropped, and a silent peer is given up for the store")
+{
+    TableSync sync(SyncTimes(), 1);
+    SyncActions actions;
+    const Published next(2);
+    sync.onManifest({ 1 }, next.bytes, Millis(0), actions);
+    for (const auto &[hash, chunk] : next.chunks)
+        sync.onChunk(hash, chunk + "x", Millis(1), actions);
+    CHECK(sync.revision() == Revision{ 0 });
+    CHECK(sync.corruptChunks() == next.chunks.size());
+    bool readsStore = false;
+    for (int second = 1; second < 5; ++second) {
+        actions.clear();
+        sync.onTimer(Millis(second * 1000), actions);
+        for (const SyncAction &action : actions)
+            readsStore = readsStore || action.kind == SyncActionKind::ReadChunk;
+    }
+    CHECK(readsStore);
+}
+
+TEST_CASE("a watch that silently stopped is begun anew, and an outage is met with few calls")
+{
+    TableSync sync(SyncTimes(), 1);
+    sync.setWatcher(true);
+    SyncActions actions;
+    sync.onTimer(Millis(0), actions);
+    sync.onStoreManifest(true, 1, Published(1).bytes, Millis(5), actions);
+    actions.clear();
+    sync.onTimer(Millis(100), actions);
+    REQUIRE(actions.size() == 1);
+    CHECK(actions[0].kind == SyncActionKind::WatchManifest);
+    // No answer ever comes.
+    const std::uint64_t before = sync.storeCalls();
+    for (int second = 1; second <= 3600; ++second) {
+        actions.clear();
+        sync.onTimer(Millis(second * 1000), actions);
+    }
+    CHECK(sync.storeCalls() > before);
+    // An hour without the store costs less than one call in three seconds.
+    CHECK(sync.storeCalls() - before < 1200);
+}
