At most once across hosts; retries of a dead searcher one at a time; relay load left out

Ruled out: the datagrams, which the channel delivers once per life. Change: the owner of a request id, by rendezvous, claims it at the two next hosts before it runs; records are handed on when hosts or their lives change; a claim has a name, so that a late release cannot void another one. Query numbers no longer begin anew with each life of a host, where a late reply could have met another request. Urgent news (death, refutation) goes before news of new hosts.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -75,7 +75,7 @@
     for (const std::uint32_t size : fleetSizes) {
         std::vector<OwnerCandidate> candidates;
         for (const MemberInfo &member : membersOf(size))
-            candidates.push_back({ member.id, stableHash(member.zone) });
+            candidates.push_back({ member.id, stableHash(member.zone), {} });
         const Ownership ownership(candidates);
         std::uint64_t key = 0;
         const double nanos = nanosPer(20'000, [&] {
--- a/src/connection/messages.h
+++ b/src/connection/messages.h
@@ -21,8 +21,7 @@
     Holdings,
     TableAsk,
     TableTell,
-    OnceAsk,
-    OnceTell,
+    Once,
 };
 
 // The W3C trace context of a request.
@@ -101,7 +100,6 @@
     Fault fault = Fault::None;
     Hop hop = Hop::Relay;
     double serviceMs = 0;
-    std::optional<RelayLoad> load;
     VersionId version;
     std::uint32_t shard = 0;
     std::uint64_t documents = 0;
@@ -113,7 +111,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->attempt, this->verdict, this->fault, this->hop, this->serviceMs, this->load,
+        archive(this->attempt, this->verdict, this->fault, this->hop, this->serviceMs,
                 this->version, this->shard, this->documents, this->hits, this->status, this->body,
                 this->holdings);
     }
@@ -228,7 +226,6 @@
     reply.fault = static_cast<Fault>(result.outcome.code.value());
     reply.hop = result.outcome.hop;
     reply.serviceMs = result.service.count();
-    reply.load = result.load;
     reply.version = result.answer.version;
     reply.shard = result.answer.shard;
     reply.documents = result.answer.documents;
@@ -249,7 +246,6 @@
         result.outcome.code = reply.fault;
     result.outcome.hop = reply.hop;
     result.service = Millis(reply.serviceMs);
-    result.load = reply.load;
     result.answer.version = reply.version;
     result.answer.shard = reply.shard;
     result.answer.documents = reply.documents;
--- a/src/connection/searcherdriver.cpp
+++ b/src/connection/searcherdriver.cpp
@@ -185,8 +185,6 @@
         this->saidDraining = true;
         this->applyDraining();
     }
-    // The load is what is left once this work is off the searcher.
-    result.load = this->queue.load();
     this->end(key, std::move(result));
     this->perform(actions);
 }
@@ -273,7 +271,6 @@
     AttemptResult result;
     result.id = key.attempt;
     result.outcome = outcome;
-    result.load = this->queue.load();
     this->end(key, std::move(result));
 }
 
--- a/src/connection/searcherqueue.cpp
+++ b/src/connection/searcherqueue.cpp
@@ -38,11 +38,6 @@
                     std::min(this->limits.connectionCap, this->limits.slots + spareConnections));
 }
 
-RelayLoad SearcherQueue::load() const
-{
-    return { static_cast<std::uint32_t>(this->queue.size()), this->running };
-}
-
 void SearcherQueue::report(const Work &work, Verdict verdict, Fault fault, RelayActions &out) const
 {
     RelayAction action;
--- a/src/connection/searcherqueue.h
+++ b/src/connection/searcherqueue.h
@@ -116,7 +116,7 @@
     void onTimer(Millis now, RelayActions &out);
     Millis nextTimer() const;
 
-    RelayLoad load() const;
+    std::size_t waiting() const { return this->queue.size(); }
     std::size_t connectionCount() const { return this->connections.size(); }
     bool idle() const { return this->queue.empty() && this->running == 0; }
     std::uint64_t silentConnections() const { return this->silentCount; }
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -89,10 +89,13 @@
         this->settings.zoneCost,
         index,
         seed,
+        this->agent->incarnation().value,
         [this](HostId owner, const std::shared_ptr<SubRequests> &batch) {
             this->sendBatch(owner, batch);
         },
         [this](HostId owner, const Cancels &cancels) { this->sendCancels(owner, cancels); },
+        [this](HostId to, const OnceMessage &message) { this->sendOnce(to, message); },
+        this->self,
     };
     entry->host = std::make_unique<EntryHost>(std::move(context));
     EntryHost *host = entry->host.get();
@@ -139,6 +142,9 @@
         for (SubReply &reply : replies.replies)
             this->deliverReply(fromMessage(std::move(reply)));
     };
+    callbacks.onOnce = [this](HostId from, const OnceMessage &message, bool stale) {
+        this->deliverOnce(from, message, stale);
+    };
     callbacks.onCancels = [this](HostId from, const Cancels &cancels) {
         for (const auto &relay : this->relays)
             relay->loop.post(
@@ -176,6 +182,27 @@
                 [host = relay->host.get(), owner, cancels] { host->onCancels(owner, cancels); });
 }
 
+void Daemon::sendOnce(HostId to, const OnceMessage &message)
+{
+    if (to == this->self)
+        this->deliverOnce(to, message, false);
+    else
+        this->control.post([this, to, message] { this->agent->sendOnce(to, message); });
+}
+
+void Daemon::deliverOnce(HostId from, const OnceMessage &message, bool stale)
+{
+    // The first entry loop keeps the host's memory; answers go to the loop that asked.
+    const bool isAnswer = message.kind == OnceKind::Answer;
+    const std::size_t index = isAnswer ? message.loop : 0;
+    if (index >= this->entries.size())
+        return;
+    EntryLoop &entry = *this->entries[index];
+    entry.loop.post([host = entry.host.get(), from, message, stale] {
+        host->onOnce(from, message, stale);
+    });
+}
+
 void Daemon::deliverReply(AttemptResult result)
 {
     const std::uint64_t index = EntryHost::loopOf(result.id.query);
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -69,6 +69,8 @@
     AgentCallbacks agentCallbacks();
     void sendBatch(HostId owner, const std::shared_ptr<SubRequests> &batch);
     void sendCancels(HostId owner, const Cancels &cancels);
+    void sendOnce(HostId to, const OnceMessage &message);
+    void deliverOnce(HostId from, const OnceMessage &message, bool stale);
     void deliverReply(AttemptResult result);
     void onAdmin(const std::shared_ptr<HttpExchange> &exchange);
     void answerStatus(HttpExchange &exchange);
--- a/src/process/hostagent.cpp
+++ b/src/process/hostagent.cpp
@@ -119,6 +119,11 @@
     this->sendMessage(owner, MessageKind::Cancels, cancels, controlLifetime);
 }
 
+void HostAgent::sendOnce(HostId to, const OnceMessage &message)
+{
+    this->sendMessage(to, MessageKind::Once, message, controlLifetime);
+}
+
 void HostAgent::sendReply(HostId entry, const AttemptResult &result)
 {
     // Replies of one turn to one host share a message.
@@ -187,8 +192,10 @@
         if (const auto tell = decode<TableTell>(body))
             this->onTableTell(from, *tell);
         break;
-    case MessageKind::OnceAsk:
-    case MessageKind::OnceTell:
+    case MessageKind::Once:
+        if (auto message = decode<OnceMessage>(body))
+            this->callbacks.onOnce(from, std::move(*message),
+                                   this->link->mayBeStale(SteadyClock::now()));
         break;
     }
 }
@@ -381,12 +388,13 @@
     for (const MemberInfo &member : this->membership.eligible(now)) {
         if (this->unresponsive.contains(member.id))
             continue;
-        candidates.push_back({ member.id, stableHash(member.zone) });
+        candidates.push_back({ member.id, stableHash(member.zone), member.incarnation });
         next->hosts.insert(member.id);
     }
     // While this host drains, its searchers go to others, but only if there are any.
     if (candidates.empty())
-        candidates.push_back({ this->ownInfo.id, stableHash(this->settings.zone) });
+        candidates.push_back(
+                { this->ownInfo.id, stableHash(this->settings.zone), this->ownInfo.incarnation });
     next->ownership = Ownership(candidates);
     if (this->tables) {
         for (const Pool &pool : this->tables->pools) {
--- a/src/process/hostagent.h
+++ b/src/process/hostagent.h
@@ -8,6 +8,7 @@
 #include "process/membership.h"
 #include "process/rcuvalue.h"
 #include "process/settings.h"
+#include "request/oncemessages.h"
 #include "version/tablesync.h"
 #include "version/world.h"
 
@@ -32,6 +33,7 @@
             onSubRequests;
     std::function<void(SubReplies)> onSubReplies;
     std::function<void(HostId from, Cancels)> onCancels;
+    std::function<void(HostId from, OnceMessage, bool stale)> onOnce;
 };
 
 // One host's view for /status and quetzalctl status.
@@ -59,6 +61,7 @@
     // Sends a message to a peer.
     void sendSubRequests(HostId owner, const SubRequests &batch);
     void sendCancels(HostId owner, const Cancels &cancels);
+    void sendOnce(HostId to, const OnceMessage &message);
     void sendReply(HostId entry, const AttemptResult &result);
 
     // A searcher that this host owns has something new to say.
@@ -69,6 +72,7 @@
 
     AgentStatus status() const;
     HostId self() const { return this->ownInfo.id; }
+    Incarnation incarnation() const { return this->ownInfo.incarnation; }
     void onPaused();
 
     std::size_t unacknowledged() const { return this->link->unacknowledged(); }
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -47,8 +47,13 @@
 
 void Membership::announce(Member &member)
 {
-    if (member.newsLeft == 0)
+    // Who is gone, and who contradicts that, goes before who has merely begun.
+    const bool urgent = member.info.state != MemberState::Alive || member.info.refutation > 0;
+    if (urgent && !member.urgentNews)
+        this->urgentNews.push_back(member.info.id);
+    if (!urgent && member.newsLeft == 0)
         this->newsQueue.push_back(member.info.id);
+    member.urgentNews = member.urgentNews || urgent;
     member.newsLeft = this->newsRepeats();
 }
 
@@ -165,12 +170,21 @@
     heartbeat.kind = kind;
     heartbeat.sequence = sequence;
     heartbeat.sender = this->self;
-    const std::size_t count = std::min(newsPerHeartbeat, this->newsQueue.size());
+    this->takeNews(this->urgentNews, true, heartbeat);
+    this->takeNews(this->newsQueue, false, heartbeat);
+    return heartbeat;
+}
+
+void Membership::takeNews(std::deque<HostId> &queue, bool urgent, Heartbeat &heartbeat)
+{
+    const std::size_t told = heartbeat.news.size() + heartbeat.introductions.size();
+    const std::size_t count = std::min(newsPerHeartbeat - told, queue.size());
     for (std::size_t i = 0; i < count; ++i) {
-        const HostId id = this->newsQueue.front();
-        this->newsQueue.pop_front();
+        const HostId id = queue.front();
+        queue.pop_front();
         const auto found = this->members.find(id);
-        if (found == this->members.end())
+        // What became urgent meanwhile is told from the other queue.
+        if (found == this->members.end() || found->second.urgentNews != urgent)
             continue;
         Member &member = found->second;
         const bool introduce = member.introductionsLeft > 0
@@ -182,9 +196,10 @@
             heartbeat.news.push_back(newsOf(member.info));
         }
         if (--member.newsLeft > 0)
-            this->newsQueue.push_back(id);
+            queue.push_back(id);
+        else
+            member.urgentNews = false;
     }
-    return heartbeat;
 }
 
 void Membership::ping(HostId host, Millis now, std::vector<OutgoingHeartbeat> &out)
@@ -440,7 +455,7 @@
 std::size_t Membership::stateBytes() const
 {
     std::size_t bytes = sizeof(*this) + this->rotation.capacity() * sizeof(HostId)
-                        + this->newsQueue.size() * sizeof(HostId);
+                        + (this->newsQueue.size() + this->urgentNews.size()) * sizeof(HostId);
     for (const auto &[id, member] : this->members) {
         bytes += sizeof(id) + sizeof(member) + 2 * sizeof(void *);
         bytes += member.info.name.capacity() + member.info.zone.capacity()
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -162,6 +162,7 @@
         Millis since;
         // Number of times this item is still to be gossiped.
         int newsLeft = 0;
+        bool urgentNews = false;
         // Number of times it is still to be told with name, zone and address.
         int introductionsLeft = 0;
         int flaps = 0;
@@ -199,6 +200,7 @@
     void checkPending(Millis now, std::vector<OutgoingHeartbeat> &out);
     void checkSuspects(Millis now);
     void announce(Member &member);
+    void takeNews(std::deque<HostId> &queue, bool urgent, Heartbeat &heartbeat);
     int newsRepeats() const;
 
     MemberInfo self;
@@ -208,6 +210,7 @@
     // Hosts that are not alive, for the sweep.
     std::set<HostId> unsettled;
     std::vector<HostId> rotation;
+    std::deque<HostId> urgentNews;
     std::deque<HostId> newsQueue;
     std::vector<PendingPing> pending;
     std::vector<Relayed> relayed;
--- a/src/process/ownership.cpp
+++ b/src/process/ownership.cpp
@@ -9,6 +9,7 @@
     for (const OwnerCandidate &candidate : candidates) {
         this->byZone[candidate.zone].push_back(candidate.host);
         this->all.push_back(candidate.host);
+        this->incarnations[candidate.host] = candidate.incarnation;
     }
 }
 
@@ -34,6 +35,12 @@
     return highestRank(this->all, searcher.value);
 }
 
+Incarnation Ownership::incarnationOf(HostId host) const
+{
+    const auto found = this->incarnations.find(host);
+    return found == this->incarnations.end() ? Incarnation() : found->second;
+}
+
 HostId Ownership::ownerOfRequest(std::uint64_t requestHash, std::size_t rank) const
 {
     if (rank == 0)
--- a/src/process/ownership.h
+++ b/src/process/ownership.h
@@ -16,6 +16,7 @@
     HostId host;
     // Hash of the name of the host's zone.
     std::uint64_t zone = 0;
+    Incarnation incarnation;
 };
 
 // Assigns keys to hosts by rendezvous hashing, so that a change of hosts moves only the keys of
@@ -33,7 +34,11 @@
     // Returns the owner of a request id among all hosts, or the next in rank if skip is one.
     HostId ownerOfRequest(std::uint64_t requestHash, std::size_t rank = 0) const;
 
+    // Returns the life of a host, or zero for one that is not among the candidates.
+    Incarnation incarnationOf(HostId host) const;
+
 private:
+    std::unordered_map<HostId, Incarnation> incarnations;
     std::unordered_map<std::uint64_t, std::vector<HostId>> byZone;
     std::vector<HostId> all;
 };
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -64,7 +64,6 @@
     ShardAnswer answer;
     // Time from the relay's send to the searcher's reply.
     Millis service;
-    std::optional<RelayLoad> load;
     // What the searcher holds, said together with the refusal of a version it lacks.
     std::optional<std::vector<Holding>> holdings;
 };
--- a/src/request/entryhost.cpp
+++ b/src/request/entryhost.cpp
@@ -18,8 +18,10 @@
 
 EntryHost::EntryHost(EntryContext context)
     : context(std::move(context))
+    , once(this->context.loop, this->context.self, this->context.index, this->onceHooks())
     , spans(this->context.seed)
     , random(this->context.seed + 1)
+    , lastQuery(this->context.firstQuery & queryMask)
 {}
 
 std::string EntryHost::newRequestId()
@@ -52,7 +54,69 @@
                      checked.problem->text, checked.request.forward.requestId);
         return;
     }
-    this->begin(exchange, std::move(checked.request), world);
+    const CallerRequest &request = checked.request;
+    // An id of the caller's own may come again through another host.
+    if (!request.route->repeatable && request.namedByCaller) {
+        this->forwardOnce(exchange, request);
+        return;
+    }
+    const auto reply = [exchange](const HttpAnswer &answer) {
+        exchange->respond(answer.status, answer.fields, answer.body, answer.contentType);
+    };
+    const QueryId id = this->begin(reply, std::move(checked.request), world);
+    exchange->onGone([this, id] { this->onCallerGone(id); });
+}
+
+void EntryHost::onCallerGone(QueryId id)
+{
+    const auto found = this->running.find(id);
+    if (found == this->running.end())
+        return;
+    this->context.metrics.add(Counter::CallersGone);
+    QueryActions actions;
+    found->second.query->onCallerGone(SteadyClock::now(), actions);
+    this->perform(id, actions);
+}
+
+OnceHooks EntryHost::onceHooks()
+{
+    OnceHooks hooks;
+    hooks.send = [this](HostId to, OnceMessage message) {
+        this->context.sendOnce(to, std::move(message));
+    };
+    hooks.run = [this](const OnceMessage &forward, std::function<void(const HttpAnswer &)> done) {
+        this->runOnce(forward, std::move(done));
+    };
+    return hooks;
+}
+
+void EntryHost::forwardOnce(const std::shared_ptr<HttpExchange> &exchange,
+                            const CallerRequest &request)
+{
+    OnceMessage message;
+    message.key = request.route->name + " " + request.forward.requestId;
+    message.route = request.route->name;
+    message.request = request.forward;
+    message.budgetMs = request.deadline.count();
+    this->once.forward(exchange, std::move(message));
+}
+
+void EntryHost::runOnce(const OnceMessage &forward, std::function<void(const HttpAnswer &)> done)
+{
+    const std::shared_ptr<const World> world = this->context.world.read();
+    CallerRequest request;
+    for (const Route &route : world->tables->routes) {
+        if (route.name == forward.route)
+            request.route = &route;
+    }
+    if (request.route == nullptr) {
+        done(writeRefusal(statusUnavailable, Fault::NoRoute, "the route is gone",
+                          forward.request.requestId, defaultRetryAfter));
+        return;
+    }
+    request.forward = forward.request;
+    request.deadline = Millis(forward.budgetMs);
+    this->begin(std::move(done), std::move(request), world);
 }
 
 PoolState &EntryHost::poolState(const Pool &pool)
@@ -64,26 +128,25 @@
     return *this->pools.emplace(pool.name, std::move(made)).first->second;
 }
 
-void EntryHost::begin(const std::shared_ptr<HttpExchange> &exchange, CallerRequest request,
-                      const std::shared_ptr<const World> &world)
+QueryId EntryHost::begin(std::function<void(const HttpAnswer &)> reply, CallerRequest request,
+                         const std::shared_ptr<const World> &world)
 {
     if (this->syncedGeneration != world->generation)
         this->onWorld();
     const Pool *pool = world->tables->pool(request.route->pool);
     if (pool == nullptr) {
-        this->refuse(*exchange, statusUnavailable, Fault::PoolEmpty,
-                     "pool \"" + request.route->pool + "\" does not exist",
-                     request.forward.requestId);
-        return;
+        reply(writeRefusal(statusUnavailable, Fault::PoolEmpty,
+                           "pool \"" + request.route->pool + "\" does not exist",
+                           request.forward.requestId, defaultRetryAfter));
+        return {};
     }
     PoolState &state = this->poolState(*pool);
     if (!state.admission.admit(request.route->priority)) {
         this->context.metrics.add(Counter::Refused);
-        const HttpAnswer answer = writeRefusal(
-                statusUnavailable, Fault::Overloaded, "pool \"" + pool->name + "\" is overloaded",
-                request.forward.requestId, state.admission.retryAfter());
-        exchange->respond(answer.status, answer.fields, answer.body, answer.contentType);
-        return;
+        reply(writeRefusal(statusUnavailable, Fault::Overloaded,
+                           "pool \"" + pool->name + "\" is overloaded", request.forward.requestId,
+                           state.admission.retryAfter()));
+        return {};
     }
     const Millis now = SteadyClock::now();
     QueryPlan plan;
@@ -99,7 +162,7 @@
     plan.explain = request.explain;
     Running &entry = this->running[plan.id];
     entry.query = std::make_unique<Query>(plan, state);
-    entry.exchange = exchange;
+    entry.reply = std::move(reply);
     entry.world = world;
     entry.pool = &state;
     entry.trace = request.trace.value_or(TraceContext());
@@ -113,18 +176,10 @@
     entry.trace.span = this->spans.next();
     entry.request = std::move(request);
     const QueryId id = plan.id;
-    exchange->onGone([this, id] {
-        const auto found = this->running.find(id);
-        if (found == this->running.end())
-            return;
-        this->context.metrics.add(Counter::CallersGone);
-        QueryActions actions;
-        found->second.query->onCallerGone(SteadyClock::now(), actions);
-        this->perform(id, actions);
-    });
     QueryActions actions;
     entry.query->start(now, actions);
     this->perform(id, actions);
+    return id;
 }
 
 void EntryHost::perform(QueryId id, QueryActions &actions)
@@ -250,17 +305,17 @@
         return place == world->searchers.end() ? std::string("unknown")
                                                : place->second.searcher->address;
     };
-    HttpAnswer reply
+    HttpAnswer written
             = writeAnswer(answer, entry.request.route->kind, entry.request.forward.requestId,
                           entry.pool->admission.retryAfter(), entry.request.explain, addressOf);
     if (entry.trace.sampled) {
-        reply.fields.push_back({ "traceparent", formatTraceparent(entry.trace) });
+        written.fields.push_back({ "traceparent", formatTraceparent(entry.trace) });
         this->traceQuery(entry, answer, entry.eventAt);
     }
-    const std::shared_ptr<HttpExchange> exchange = entry.exchange;
+    const auto reply = std::move(entry.reply);
     this->context.loop.cancel(entry.timer);
     this->running.erase(id);
-    exchange->respond(reply.status, reply.fields, reply.body, reply.contentType);
+    reply(written);
 }
 
 void EntryHost::traceQuery(const Running &entry, const Answer &answer, Millis mergedAt)
@@ -366,12 +421,14 @@
     if (!world || !world->tables || world->generation == this->syncedGeneration)
         return;
     this->syncedGeneration = world->generation;
+    this->once.onOwnership(world->ownership);
     for (const Pool &pool : world->tables->pools)
         this->syncPool(*world, pool, this->poolState(pool));
 }
 
 void EntryHost::onRelayLost(HostId host)
 {
+    this->once.onHostLost(host);
     struct Lost
     {
         QueryId query;
--- a/src/request/entryhost.h
+++ b/src/request/entryhost.h
@@ -8,6 +8,7 @@
 #include "process/rcuvalue.h"
 #include "process/tracing.h"
 #include "request/callerrequest.h"
+#include "request/onceservice.h"
 #include "request/poolstate.h"
 #include "request/query.h"
 #include "version/world.h"
@@ -34,9 +35,15 @@
     // Number of the loop; query numbers carry it so that replies find their loop.
     std::uint64_t index = 0;
     std::uint64_t seed = 0;
+    // First query number of this life of the host; larger than all of earlier lives, so that no
+    // reply to an earlier life's attempt is taken for one to this life's.
+    std::uint64_t firstQuery = 0;
     // Sends messages to the relay of a host, this one included.
     std::function<void(HostId owner, std::shared_ptr<SubRequests> batch)> sendBatch;
     std::function<void(HostId owner, Cancels cancels)> sendCancels;
+    // Sends a message about a request that may not be repeated, this host included.
+    std::function<void(HostId to, OnceMessage message)> sendOnce;
+    HostId self;
 };
 
 // Runs the queries of one loop. Used on its thread only.
@@ -54,6 +61,12 @@
     // Searchers' holdings changed.
     void onReports(const std::vector<SearcherReport> &news);
 
+    // A message about a request that may not be repeated arrived.
+    void onOnce(HostId from, const OnceMessage &message, bool stale)
+    {
+        this->once.onMessage(from, message, stale);
+    }
+
     // A new world was published.
     void onWorld();
 
@@ -63,18 +76,20 @@
     // Refuses new requests from now on.
     void stopAccepting() { this->stopping = true; }
 
-    std::size_t runningQueries() const { return this->running.size(); }
+    std::size_t runningQueries() const { return this->running.size() + this->once.open(); }
 
     // Returns the loop that a query belongs to.
     static std::uint64_t loopOf(QueryId query) { return query.value >> loopShift; }
 
 private:
     static constexpr int loopShift = 48;
+    static constexpr std::uint64_t queryMask = (std::uint64_t(1) << loopShift) - 1;
 
     struct Running
     {
         std::unique_ptr<Query> query;
-        std::shared_ptr<HttpExchange> exchange;
+        // Takes the answer.
+        std::function<void(const HttpAnswer &)> reply;
         // Keeps the route and the revision for the query's life.
         std::shared_ptr<const World> world;
         CallerRequest request;
@@ -95,8 +110,12 @@
     void applyReport(const SearcherReport &report, PoolState &state);
     void refuse(HttpExchange &exchange, int status, Fault fault, const std::string &text,
                 const std::string &requestId);
-    void begin(const std::shared_ptr<HttpExchange> &exchange, CallerRequest request,
-               const std::shared_ptr<const World> &world);
+    QueryId begin(std::function<void(const HttpAnswer &)> reply, CallerRequest request,
+                  const std::shared_ptr<const World> &world);
+    void forwardOnce(const std::shared_ptr<HttpExchange> &exchange, const CallerRequest &request);
+    void runOnce(const OnceMessage &forward, std::function<void(const HttpAnswer &)> done);
+    void onCallerGone(QueryId id);
+    OnceHooks onceHooks();
     void perform(QueryId id, QueryActions &actions);
     void sendAttempts(Running &entry, const std::vector<Attempt> &attempts);
     void sendCancels(const Running &entry, const std::vector<Attempt> &attempts);
@@ -108,6 +127,7 @@
     void checkVersionConflicts(const std::string &pool, PoolState &state);
 
     EntryContext context;
+    OnceService once;
     SpanIds spans;
     std::mt19937_64 random;
     std::uint64_t lastQuery = 0;
--- a/src/request/query.cpp
+++ b/src/request/query.cpp
@@ -106,7 +106,7 @@
     const Millis latency = now - attempt.sentAt;
     if (result.holdings)
         this->pool.book.report(attempt.searcher, *result.holdings);
-    this->pool.chooser.onEnd(attempt.searcher, now, latency, result.outcome, result.load);
+    this->pool.chooser.onEnd(attempt.searcher, now, latency, result.outcome);
     if (result.outcome.succeeded())
         this->pool.latencies.add(now, latency);
     if (!isCapacityRefusal(result.outcome.code))
@@ -237,7 +237,8 @@
     attempt.open = false;
     this->shards[attempt.shard].openAttempts -= 1;
     const Outcome outcome = { Verdict::MayHaveRun, Fault::Cancelled, Hop::Entry };
-    this->pool.chooser.onEnd(attempt.searcher, now, now - attempt.sentAt, outcome, std::nullopt);
+    this->mayHaveRun = true;
+    this->pool.chooser.onEnd(attempt.searcher, now, now - attempt.sentAt, outcome);
     AttemptResult result;
     result.outcome = outcome;
     this->record(ordinal, result, now);
--- a/src/request/replicachooser.cpp
+++ b/src/request/replicachooser.cpp
@@ -11,8 +11,6 @@
 static constexpr double latencyGain = 0.15;
 // Weight of a new sample in the estimate over all searchers.
 static constexpr double typicalGain = 0.01;
-// A relay's word about its queue loses its weight after this time.
-static constexpr Millis loadLifetime = Millis(200);
 static constexpr Millis estimateLifetime = Millis(3000);
 // A searcher that appeared less than this ago costs more than its peers.
 static constexpr Millis slowStartSpan = Millis(5000);
@@ -67,12 +65,7 @@
 
 double ReplicaChooser::cost(const Record &record, Millis now) const
 {
-    double inSight = this->options.useOutstanding ? record.outstanding : 0;
-    if (this->options.useRelayLoad && now - record.loadAt < loadLifetime) {
-        const double fresh = 1 - (now - record.loadAt) / loadLifetime;
-        const double seen = record.load.queued + record.load.running;
-        inSight = std::max(inSight, seen * fresh);
-    }
+    const double inSight = this->options.useOutstanding ? record.outstanding : 0;
     double cost = this->expectedLatency(record, now).count() * (1 + inSight / record.slots);
     if (this->options.useZoneCost)
         cost += record.zoneCost.count();
@@ -80,6 +73,10 @@
         cost *= slowStartFactor;
     if (this->options.useBackoff && now < record.backOffUntil)
         cost += backedOffCost;
+    // After a failure one request at a time finds out whether the searcher is back.
+    const bool probed = record.failures > 0 && record.outstanding >= 1;
+    if (this->options.useBackoff && probed)
+        cost += backedOffCost;
     return cost;
 }
 
@@ -119,6 +116,8 @@
     const double jitter = 0.75 + 0.5 * static_cast<double>(this->random() % 1000) / 1000;
     record.backOffUntil = now + span * jitter;
     record.failures += 1;
+    // Perhaps it was restarted: when it is back it starts slowly.
+    record.knownSince = record.backOffUntil;
 }
 
 static bool countsAgainstSearcher(const std::error_code &code)
@@ -128,15 +127,10 @@
            || code == Fault::Draining || code == Fault::RelayLost;
 }
 
-void ReplicaChooser::onEnd(SearcherId searcher, Millis now, Millis latency, const Outcome &outcome,
-                           const std::optional<RelayLoad> &load)
+void ReplicaChooser::onEnd(SearcherId searcher, Millis now, Millis latency, const Outcome &outcome)
 {
     Record &record = this->records[searcher];
     record.outstanding = std::max(0.0, record.outstanding - 1);
-    if (load) {
-        record.load = *load;
-        record.loadAt = now;
-    }
     if (countsAgainstSearcher(outcome.code)) {
         this->recordFailure(record, now);
         return;
--- a/src/request/replicachooser.h
+++ b/src/request/replicachooser.h
@@ -14,25 +14,11 @@
 
 namespace quetzal {
 
-// What a relay knows exactly about one of its searchers when it answers.
-struct RelayLoad
-{
-    std::uint32_t queued = 0;
-    std::uint32_t running = 0;
-
-    template <typename Archive>
-    void serialize(Archive &archive)
-    {
-        archive(this->queued, this->running);
-    }
-};
-
 // Which parts of the choice are in use; the policy bench switches them off one by one.
 struct ChooserOptions
 {
     bool useObservations = true;
     bool useOutstanding = true;
-    bool useRelayLoad = true;
     bool useZoneCost = true;
     bool useBackoff = true;
     bool useSlowStart = true;
@@ -61,9 +47,8 @@
     // Records that a sub-request was sent.
     void onSent(SearcherId searcher);
 
-    // Records the end of an attempt that was sent. The load counts only if the relay said it.
-    void onEnd(SearcherId searcher, Millis now, Millis latency, const Outcome &outcome,
-               const std::optional<RelayLoad> &load);
+    // Records the end of an attempt that was sent.
+    void onEnd(SearcherId searcher, Millis now, Millis latency, const Outcome &outcome);
 
     // Returns true while the searcher is put behind its peers after failures.
     bool isBackedOff(SearcherId searcher, Millis now) const;
@@ -81,8 +66,6 @@
         bool hasLatency = false;
         Millis latencyAt;
         double outstanding = 0;
-        RelayLoad load;
-        Millis loadAt;
         int failures = 0;
         Millis backOffUntil;
     };
--- a/tests/querytest.cpp
+++ b/tests/querytest.cpp
@@ -228,3 +228,27 @@
     CHECK_FALSE(actions.answer->coverage.documentsTotal);
     CHECK(actions.answer->coverage.shardsTotal == shardCount);
 }
+
+TEST_CASE("a query whose cancelled attempts may have run does not say that it was not run")
+{
+    Fixture f;
+    Query query(f.plan, f.pool);
+    QueryActions actions;
+    query.start(Millis(0), actions);
+    const std::vector<Attempt> sent = actions.send;
+    for (std::uint32_t shard = 0; shard < shardCount; ++shard)
+        for (std::uint32_t index = 0; index < 2; ++index)
+            f.hold(replica(shard, index), { 8 }, shardCount, shard);
+    actions.send.clear();
+    // The version is gone: the query begins again, and all of its second attempts are refused.
+    query.onResult(Millis(4), Fixture::failure(sent[0], Verdict::NotRun, Fault::VersionMissing),
+                   actions);
+    for (std::size_t i = 0; i < actions.send.size() && !actions.answer; ++i) {
+        const Attempt attempt = actions.send[i];
+        query.onResult(Millis(6), Fixture::failure(attempt, Verdict::NotRun, Fault::ConnectFailed),
+                       actions);
+    }
+    REQUIRE(actions.answer);
+    CHECK(actions.answer->coverage.shardsAnswered == 0);
+    CHECK(actions.answer->outcome.verdict == Verdict::MayHaveRun);
+}
