Overload is refusals all over; one slow searcher's refusals are not

Cause: any refusal by a relay paused hedging for the whole pool and shrank the entry's limit, so one cold or slow searcher took hedges away when they were needed and had queries refused at the door. Ruled out: the hedge budget, which was not used up. Change: a query counts as refused if a shard stays missing for it or if over 1.5 % of recent attempts were refused; hedges pause after refusals at the door or over 5 % refused attempts. The quantile for hedges forgets in 1.5 s instead of 2 s.

--- a/bench/virtual/virtualtier.cpp
+++ b/bench/virtual/virtualtier.cpp
@@ -248,7 +248,7 @@
     PoolState &pool = order ? *host.orders : *host.search;
     const Millis now = this->clock.now();
     const std::uint64_t request = ++this->lastRequest;
-    if (!pool.admission.admit(Priority::High)) {
+    if (!pool.admission.admit(Priority::High, now)) {
         TierRecord record;
         record.request = request;
         record.order = order;
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -22,10 +22,17 @@
 
     void start(const Poco::Net::StreamSocket &socket)
     {
+        // The server owns the connection, the connection its stream: the callbacks own neither.
+        const std::weak_ptr<HttpServerConnection> weak = this->weak_from_this();
         StreamCallbacks callbacks;
-        callbacks.onData
-                = [self = this->shared_from_this()](std::string_view data) { self->onData(data); };
-        callbacks.onClosed = [self = this->shared_from_this()] { self->onClosed(); };
+        callbacks.onData = [weak](std::string_view data) {
+            if (const auto self = weak.lock())
+                self->onData(data);
+        };
+        callbacks.onClosed = [weak] {
+            if (const auto self = weak.lock())
+                self->onClosed();
+        };
         this->stream = TcpStream::accept(this->loop, socket, std::move(callbacks));
         this->armTimer(this->options.idleTime);
     }
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -140,7 +140,9 @@
 void Membership::add(const Member &member)
 {
     this->members.emplace(member.info.id, member);
+    // At a random place: hosts that read the same list must not ping in the same order.
     this->rotation.push_back(member.info.id);
+    std::swap(this->rotation.back(), this->rotation[this->random() % this->rotation.size()]);
     if (member.info.state != MemberState::Alive)
         this->unsettled.insert(member.info.id);
     this->changes += 1;
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -13,12 +13,14 @@
 static constexpr std::array<double, 3> priorityShares = { 0.7, 0.9, 1.0 };
 static constexpr double latencyGain = 0.05;
 
-bool Admission::admit(Priority priority)
+bool Admission::admit(Priority priority, Millis now)
 {
     const double share = priorityShares[static_cast<std::size_t>(priority)];
     const double open = std::max(smallestLimit, this->limit * share);
-    if (this->enabled && this->running >= open)
+    if (this->enabled && this->running >= open) {
+        this->refusedAt = now;
         return false;
+    }
     ++this->running;
     return true;
 }
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -21,7 +21,10 @@
     {}
 
     // Takes a place for a query of that priority. Returns false if there is none.
-    bool admit(Priority priority);
+    bool admit(Priority priority, Millis now);
+
+    // True if a query was refused within the last moments: the pool has nothing to spare.
+    bool refusedLately(Millis now) const { return now < this->refusedAt + refusalMemory; }
 
     // Gives the place back.
     // refused: a relay or searcher refused part of the query for lack of capacity.
@@ -38,7 +41,10 @@
     std::uint32_t inFlight() const { return this->running; }
 
 private:
+    static constexpr Millis refusalMemory = Millis(500);
+
     bool enabled;
+    Millis refusedAt = Millis(-1e9);
     std::uint32_t running = 0;
     double limit = 64;
     Millis typicalLatency = Millis(20);
--- a/src/request/entryhost.cpp
+++ b/src/request/entryhost.cpp
@@ -141,7 +141,7 @@
         return {};
     }
     PoolState &state = this->poolState(*pool);
-    if (!state.admission.admit(request.route->priority)) {
+    if (!state.admission.admit(request.route->priority, SteadyClock::now())) {
         this->context.metrics.add(Counter::Refused);
         reply(writeRefusal(statusUnavailable, Fault::Overloaded,
                            "pool \"" + pool->name + "\" is overloaded", request.forward.requestId,
--- a/src/request/poolstate.h
+++ b/src/request/poolstate.h
@@ -37,7 +37,7 @@
 
     static constexpr int hedgeBurst = 20;
     static constexpr int retryBurst = 20;
-    static constexpr Millis latencyHalfLife = Millis(2000);
+    static constexpr Millis latencyHalfLife = Millis(1500);
 
     PolicyOptions options;
     VersionBook book;
@@ -46,8 +46,8 @@
     TokenBudget retries;
     LatencyQuantile latencies;
     Admission admission;
-    // Time of the last refusal for lack of capacity; no hedges shortly after one.
-    Millis refusedAt = Millis(-1e9);
+    // Recent share of attempts refused for lack of capacity.
+    double refusedShare = 0;
 };
 
 } // namespace quetzal
--- a/src/request/query.cpp
+++ b/src/request/query.cpp
@@ -15,8 +15,12 @@
 // Quantile of the pool's sub-request latencies after which a sub-request is hedged.
 static constexpr double hedgeQuantile = 0.95;
 static constexpr Millis shortestHedgeDelay = Millis(2);
-// No hedges this long after capacity was refused.
-static constexpr Millis hedgePauseAfterRefusal = Millis(500);
+// Weight of one attempt in the share of attempts that were refused for lack of capacity.
+static constexpr double refusalGain = 0.01;
+// From this share on refusals count as an overload of the pool.
+static constexpr double widespreadShare = 0.015;
+// No hedges while more than this share is refused.
+static constexpr double overloadShare = 0.05;
 
 static bool isCapacityRefusal(const std::error_code &code)
 {
@@ -109,10 +113,11 @@
     this->pool.chooser.onEnd(attempt.searcher, now, latency, result.outcome);
     if (result.outcome.succeeded())
         this->pool.latencies.add(now, latency);
-    if (!isCapacityRefusal(result.outcome.code))
-        return;
-    this->refused = true;
-    this->pool.refusedAt = now;
+    const double refusal = isCapacityRefusal(result.outcome.code) ? 1 : 0;
+    this->pool.refusedShare += (refusal - this->pool.refusedShare) * refusalGain;
+    // Refusals here and there are one slow searcher; refusals all over are an overload.
+    if (refusal > 0 && this->pool.refusedShare > widespreadShare)
+        this->refused = true;
 }
 
 void Query::record(std::uint32_t ordinal, const AttemptResult &result, Millis now)
@@ -228,6 +233,8 @@
     assert(state.phase == ShardPhase::Pending);
     state.phase = ShardPhase::Missing;
     state.reason = reason;
+    // One slow searcher whose peers take over is no overload of the pool.
+    this->refused = this->refused || isCapacityRefusal(reason);
     this->pending -= 1;
 }
 
@@ -281,7 +288,8 @@
 
 void Query::hedgeDue(Millis now, QueryActions &out)
 {
-    const bool paused = now - this->pool.refusedAt < hedgePauseAfterRefusal;
+    const bool paused
+            = this->pool.refusedShare > overloadShare || this->pool.admission.refusedLately(now);
     if (!this->pool.options.useHedging || !this->plan.repeatable || paused)
         return;
     const Millis delay = this->hedgeDelay();
--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -108,3 +108,15 @@
     CHECK(before.ownerOf({ 5 }, "zone-9") != HostId());
     CHECK(Ownership().ownerOf({ 5 }, "zone-1") == HostId());
 }
+
+TEST_CASE("hosts that read the same list do not ping in the same order")
+{
+    FleetSetup setup = smallFleet();
+    setup.hosts = 60;
+    VirtualFleet fleet(setup);
+    // Well within the first round of pings, which takes 24 s.
+    fleet.runUntil(Millis(3000));
+    fleet.killHost(7);
+    fleet.runUntil(Millis(10'000));
+    CHECK(fleet.believersOfDeath(7) == setup.hosts - 1);
+}
