One type for broken promises in the bench and the load tool

Cause: PromiseCounts and TierViolations said the same thing twice. Change: standins/promisecounts.h; the load tool counts expired work by itself. Conclusion: nothing changes in behaviour.

--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -147,7 +147,7 @@
 
 void checkViolations(Report &report, const std::string &scenario, VirtualTier &tier)
 {
-    const TierViolations found = tier.violations();
+    const PromiseCounts found = tier.violations();
     const std::string prefix = scenario + "/ours/";
     report.atMost(prefix + "P1-snapshot", static_cast<double>(found.snapshot), "violations", 0);
     report.atMost(prefix + "P2-coverage", static_cast<double>(found.coverage), "violations", 0);
@@ -456,7 +456,7 @@
     static constexpr Millis length = Millis(15'000);
     const std::vector<NamedFault> faults = allFaults();
     std::size_t runs = 0;
-    TierViolations sum;
+    PromiseCounts sum;
     for (std::size_t a = 0; a < faults.size(); ++a) {
         for (std::size_t b = a + 1; b < faults.size(); ++b) {
             VirtualTier tier(setupOf(Policy::Ours, seed * 1000 + a * 50 + b));
@@ -464,7 +464,7 @@
             faults[a].apply(tier);
             faults[b].apply(tier);
             tier.runUntil(length + settle);
-            const TierViolations found = tier.violations();
+            const PromiseCounts found = tier.violations();
             if (found.total() > 0)
                 report.atMost("pairs/" + faults[a].name + "+" + faults[b].name
                                       + "/P1:" + std::to_string(found.snapshot)
--- a/bench/virtual/virtualtier.cpp
+++ b/bench/virtual/virtualtier.cpp
@@ -811,9 +811,9 @@
     return total;
 }
 
-TierViolations VirtualTier::violations()
+PromiseCounts VirtualTier::violations()
 {
-    TierViolations found;
+    PromiseCounts found;
     // Runs by request: versions, and number of runs.
     struct Ran
     {
--- a/bench/virtual/virtualtier.h
+++ b/bench/virtual/virtualtier.h
@@ -7,6 +7,7 @@
 #include "process/ownership.h"
 #include "request/poolstate.h"
 #include "request/query.h"
+#include "standins/promisecounts.h"
 
 #include <cstdint>
 #include <map>
@@ -69,24 +70,6 @@
     std::uint32_t restarts = 0;
 };
 
-// Broken promises, counted from answers and ledgers.
-struct TierViolations
-{
-    std::uint64_t snapshot = 0;
-    std::uint64_t coverage = 0;
-    std::uint64_t foreignReply = 0;
-    std::uint64_t falseNotRun = 0;
-    std::uint64_t ranTwice = 0;
-    std::uint64_t afterDrain = 0;
-    std::uint64_t overCap = 0;
-
-    std::uint64_t total() const
-    {
-        return this->snapshot + this->coverage + this->foreignReply + this->falseNotRun
-               + this->ranTwice + this->afterDrain + this->overCap;
-    }
-};
-
 // Runs open-loop load through the shipped core and keeps what callers were told.
 class VirtualTier
 {
@@ -125,7 +108,7 @@
     void setLoss(double loss) { this->setup.loss = loss; }
 
     const std::vector<TierRecord> &records() const { return this->answers; }
-    TierViolations violations();
+    PromiseCounts violations();
     std::uint64_t firstAttempts() const { return this->firsts; }
     std::uint64_t allAttempts() const { return this->attempts; }
     std::uint64_t hedges() const { return this->hedgeCount; }
--- a/loadtool/ledger.cpp
+++ b/loadtool/ledger.cpp
@@ -104,7 +104,6 @@
         if (line.finished)
             entry.finished.insert({ line.version, line.shard });
         counts.afterDrain += line.afterDrain ? 1 : 0;
-        counts.expired += line.expired ? 1 : 0;
     }
     std::set<std::string> checkedOnce;
     for (const CallerAnswer &answer : answers) {
--- a/loadtool/ledger.h
+++ b/loadtool/ledger.h
@@ -4,6 +4,7 @@
 #include "quetzal/ids.h"
 #include "quetzal/millis.h"
 #include "request/hit.h"
+#include "standins/promisecounts.h"
 
 #include <cstdint>
 #include <string>
@@ -51,24 +52,6 @@
     double serviceMs = -1;
 };
 
-// Broken promises.
-struct PromiseCounts
-{
-    std::uint64_t snapshot = 0;
-    std::uint64_t coverage = 0;
-    std::uint64_t foreignReply = 0;
-    std::uint64_t falseNotRun = 0;
-    std::uint64_t ranTwice = 0;
-    std::uint64_t afterDrain = 0;
-    std::uint64_t expired = 0;
-
-    std::uint64_t total() const
-    {
-        return this->snapshot + this->coverage + this->foreignReply + this->falseNotRun
-               + this->ranTwice + this->afterDrain;
-    }
-};
-
 // Checks every answer against the ledger and against the index's right answers.
 PromiseCounts checkPromises(const std::vector<CallerAnswer> &answers,
                             const std::vector<LedgerLine> &ledger, std::uint64_t documents);
--- a/loadtool/runner.cpp
+++ b/loadtool/runner.cpp
@@ -478,7 +478,6 @@
     double refused = 0;
     double lost = 0;
     double firstAttempts = 0;
-    double shardsAnswered = 0;
     for (const CallerAnswer &answer : this->answers) {
         lost += answer.answered ? 0 : 1;
         if (!answer.search)
@@ -490,13 +489,15 @@
                            && answer.shardsAnswered == answer.shardsTotal;
         complete += whole ? 1 : 0;
         firstAttempts += answer.shardsTotal;
-        shardsAnswered += answer.shardsAnswered;
         if (whole && answer.serviceMs >= 0)
             added.push_back(answer.latency.count() - answer.serviceMs);
     }
     double runs = 0;
-    for (const LedgerLine &line : ledger)
+    double expired = 0;
+    for (const LedgerLine &line : ledger) {
+        expired += line.expired ? 1 : 0;
         runs += line.version.value != 0 && line.requestId.starts_with("load-") ? 1 : 0;
+    }
     Lines lines;
     lines.figure("live/requests", static_cast<double>(this->answers.size()), "requests");
     lines.figure("live/lost", lost, "requests");
@@ -545,8 +546,7 @@
     promise("P4-not-run", counts.falseNotRun);
     promise("P5-ran-twice", counts.ranTwice);
     promise("P6-after-drain", counts.afterDrain);
-    lines.figure("live/expired-work", static_cast<double>(counts.expired), "runs");
-    static_cast<void>(shardsAnswered);
+    lines.figure("live/expired-work", expired, "runs");
     return lines.held();
 }
 
