An answer given at once no longer pulls the exchange from under its handler

Cause: a query refused at the door was answered inside the handler, which ended the connection's current exchange; the handler held only a reference to it and went on. Ruled out: file descriptors and memory, which were flat; found by a debugger on a host while another was paused. Change: the connection keeps the exchange for the handler's call. A test answers and goes on.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -96,9 +96,11 @@
         }
         this->loop.cancel(this->timer);
         this->current = std::make_shared<HttpExchange>(std::move(*request), this->weak_from_this());
+        // A handler that answers at once ends the current exchange while it still uses it.
+        const std::shared_ptr<HttpExchange> exchange = this->current;
         const auto owner = this->server.lock();
         if (owner)
-            owner->handler(this->current);
+            owner->handler(exchange);
     }
 
     void refuse(int status)
--- a/tests/iotest.cpp
+++ b/tests/iotest.cpp
@@ -153,6 +153,26 @@
     CHECK(answered);
 }
 
+TEST_CASE("a handler may go on using an exchange that it has answered")
+{
+    EventLoop loop;
+    int used = 0;
+    const auto server = HttpServer::listen(
+            loop, Poco::Net::SocketAddress("127.0.0.1", 0), HttpServerOptions(),
+            [&](const std::shared_ptr<HttpExchange> &exchange) {
+                exchange->respond(503, {}, "refused");
+                exchange->onGone([] {});
+                used += exchange->request().head.getURI() == "/" ? 1 : 0;
+            });
+    std::shared_ptr<HttpClient> client;
+    HttpClientCallbacks callbacks;
+    callbacks.onConnected = [&] { client->send("GET", "/", {}, ""); };
+    callbacks.onResponse = [&](const HttpResponse &) { loop.stop(); };
+    client = HttpClient::connect(loop, server->address().toString(), callbacks);
+    loop.run();
+    CHECK(used == 1);
+}
+
 TEST_CASE("settings are checked field by field")
 {
     const std::string valid = R"(host: { name: a, zone: kigali-1 }
