--- a/include/quetzal/steadyclock.h
+++ b/include/quetzal/steadyclock.h
@@ -4,6 +4,7 @@
 #include "quetzal/millis.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace quetzal {
 
@@ -16,6 +17,20 @@
         const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
         return Millis(std::chrono::duration<double, std::milli>(sinceStart).count());
     }
+
+    // Returns how long the machine was suspended since it began, to about a millisecond.
+    static Millis suspendedTime() { return read(CLOCK_BOOTTIME) - read(CLOCK_MONOTONIC); }
+
+private:
+    static Millis read(clockid_t clock)
+    {
+        timespec time = {};
+        clock_gettime(clock, &time);
+        static constexpr double millisPerSecond = 1000;
+        static constexpr double nanosPerMilli = 1e6;
+        return Millis(static_cast<double>(time.tv_sec) * millisPerSecond
+                      + static_cast<double>(time.tv_nsec) / nanosPerMilli);
+    }
 };
 
 } // namespace quetzal
--- /dev/null
+++ b/src/connection/dialect.cpp
@@ -0,0 +1,177 @@
+#include "connection/dialect.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+
+#include <Poco/String.h>
+
+namespace quetzal {
+
+static constexpr int misdirected = 421;
+static constexpr double longestPatienceMs = 3'600'000;
+
+// Fields that concern one connection only, or that the sender of a message writes itself.
+static constexpr std::array<std::string_view, 10> hopFields = {
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Proxy-Connection",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Content-Length",
+};
+
+static bool sameName(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+               return Poco::Ascii::toLower(x) == Poco::Ascii::toLower(y);
+           });
+}
+
+// True if a comma-separated list holds a name.
+static bool lists(std::string_view list, std::string_view name)
+{
+    while (!list.empty()) {
+        const std::size_t end = std::min(list.find(','), list.size());
+        std::string_view item = list.substr(0, end);
+        list.remove_prefix(std::min(list.size(), end + 1));
+        while (!item.empty() && item.front() == ' ')
+            item.remove_prefix(1);
+        while (!item.empty() && item.back() == ' ')
+            item.remove_suffix(1);
+        if (sameName(item, name))
+            return true;
+    }
+    return false;
+}
+
+static std::optional<Millis> readMillis(const std::string &text)
+{
+    double value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool whole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    if (!whole || !std::isfinite(value) || value < 0)
+        return std::nullopt;
+    return Millis(std::min(value, longestPatienceMs));
+}
+
+static std::optional<LoadReport> readLoad(const std::string &text)
+{
+    std::array<std::uint32_t, 3> numbers = {};
+    const char *at = text.data();
+    const char *end = at + text.size();
+    for (std::size_t i = 0; i < numbers.size(); ++i) {
+        const auto parsed = std::from_chars(at, end, numbers[i]);
+        const bool last = i + 1 == numbers.size();
+        if (parsed.ec != std::errc() || (last ? parsed.ptr != end : parsed.ptr == end)
+            || (!last && *parsed.ptr != ','))
+            return std::nullopt;
+        at = parsed.ptr + (last ? 0 : 1);
+    }
+    return LoadReport{ numbers[0], numbers[1], numbers[2] };
+}
+
+static std::string hostWithoutPort(std::string host)
+{
+    const std::size_t colon = host.rfind(':');
+    if (colon != std::string::npos && host.find(']', colon) == std::string::npos)
+        host.resize(colon);
+    return Poco::toLower(host);
+}
+
+bool Dialect::isForwarded(const std::string &name, const std::string &connectionField) const
+{
+    const bool ofHop = std::any_of(hopFields.begin(), hopFields.end(),
+                                   [&](std::string_view field) { return sameName(field, name); });
+    return !ofHop && !lists(connectionField, name);
+}
+
+CallerFields Dialect::readCaller(const HttpRequest &request) const
+{
+    CallerFields result;
+    const std::string connection = request.head.get("Connection", "");
+    for (const auto &[name, value] : request.head) {
+        if (sameName(name, this->names.deadline)) {
+            result.patience = readMillis(value);
+            continue;
+        }
+        if (sameName(name, this->names.target) || !this->isForwarded(name, connection))
+            continue;
+        if (sameName(name, "Host"))
+            result.host = hostWithoutPort(value);
+        if (sameName(name, "Expect"))
+            continue;
+        if (sameName(name, this->names.requestId))
+            result.requestId = value;
+        result.forwarded += name + ": " + value + "\r\n";
+    }
+    return result;
+}
+
+std::string Dialect::encode(const OutboundRequest &request, std::string_view searcher,
+                            Millis left) const
+{
+    std::string text;
+    text.reserve(request.forwarded.size() + request.target.size() + request.body.size() + 160);
+    text += request.method;
+    text += ' ';
+    text += request.target;
+    text += " HTTP/1.1\r\n";
+    text += request.forwarded;
+    const auto whole = static_cast<long long>(std::max(1.0, std::floor(left.count())));
+    text += this->names.deadline + ": " + std::to_string(whole) + "\r\n";
+    text += this->names.target + ": ";
+    text += searcher;
+    text += "\r\n";
+    const bool bodyless = request.body.empty() && request.method != "POST"
+                          && request.method != "PUT" && request.method != "PATCH";
+    if (!bodyless)
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    text += "\r\n";
+    text += request.body;
+    return text;
+}
+
+SearcherReply Dialect::decode(HttpResponse &&response, const OutboundRequest &request) const
+{
+    SearcherReply reply;
+    reply.status = response.head.getStatus();
+    reply.notRun = reply.status == misdirected;
+    reply.body = std::move(response.body);
+    const std::string connection = response.head.get("Connection", "");
+    for (const auto &[name, value] : response.head) {
+        if (sameName(name, this->names.requestId))
+            reply.owner = value == request.requestId ? ReplyOwner::This : ReplyOwner::Another;
+        if (sameName(name, this->names.notRun))
+            reply.notRun = true;
+        if (sameName(name, this->names.seal))
+            reply.seal = value;
+        if (sameName(name, this->names.load)) {
+            reply.load = readLoad(value);
+            continue;
+        }
+        if (this->isForwarded(name, connection))
+            reply.fields.push_back({ name, value });
+    }
+    return reply;
+}
+
+std::vector<HttpField> Dialect::partFields(const std::vector<std::string_view> &seals,
+                                           std::size_t missing) const
+{
+    std::string joined;
+    for (const std::string_view seal : seals) {
+        joined += joined.empty() ? "" : ", ";
+        joined += seal;
+    }
+    std::vector<HttpField> fields = { { this->names.parts, joined } };
+    fields.push_back({ this->names.missing, std::to_string(missing) });
+    return fields;
+}
+
+} // namespace quetzal
--- a/src/connection/httpreader.cpp
+++ b/src/connection/httpreader.cpp
@@ -1,20 +1,120 @@
 #include "connection/httpreader.h"
 
 #include <algorithm>
-#include <iterator>
-#include <sstream>
+#include <charconv>
+#include <cstdint>
 
-#include <Poco/Exception.h>
-#include <Poco/NumberParser.h>
+#include <Poco/String.h>
 
 namespace quetzal {
 
 static constexpr int badRequest = 400;
-static constexpr int lengthRequired = 411;
 static constexpr int bodyTooLarge = 413;
 static constexpr int headTooLarge = 431;
+static constexpr int versionNotSupported = 505;
+static constexpr std::string_view lineEnd = "\r\n";
 static constexpr std::string_view headEnd = "\r\n\r\n";
 static constexpr const char *lengthField = "Content-Length";
+static constexpr const char *encodingField = "Transfer-Encoding";
+static constexpr std::size_t longestChunkLine = 256;
+
+static bool isTokenChar(char c)
+{
+    const bool alphanumeric
+            = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    return alphanumeric || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+static bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenChar);
+}
+
+static bool isPlain(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char c) {
+        const auto byte = static_cast<unsigned char>(c);
+        return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
+    });
+}
+
+static std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
+        text.remove_prefix(1);
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
+        text.remove_suffix(1);
+    return text;
+}
+
+// Reads "METHOD TARGET HTTP/1.x". Returns zero or the status to refuse with.
+static int readStartLine(std::string_view line, Poco::Net::HTTPRequest &head)
+{
+    const std::size_t first = line.find(' ');
+    const std::size_t last = line.rfind(' ');
+    if (first == std::string_view::npos || first == last)
+        return badRequest;
+    const std::string_view method = line.substr(0, first);
+    const std::string_view target = line.substr(first + 1, last - first - 1);
+    const std::string_view version = line.substr(last + 1);
+    const bool clean = std::all_of(target.begin(), target.end(), [](char c) {
+        return static_cast<unsigned char>(c) > 0x20 && c != 0x7f;
+    });
+    if (!isToken(method) || target.empty() || !clean || !version.starts_with("HTTP/"))
+        return badRequest;
+    if (version != "HTTP/1.1" && version != "HTTP/1.0")
+        return versionNotSupported;
+    head.setMethod(std::string(method));
+    head.setURI(std::string(target));
+    head.setVersion(std::string(version));
+    return 0;
+}
+
+// Reads "HTTP/1.x STATUS REASON".
+static int readStartLine(std::string_view line, Poco::Net::HTTPResponse &head)
+{
+    static constexpr std::size_t statusAt = 9;
+    static constexpr std::size_t reasonAt = 13;
+    const bool shaped = line.size() >= statusAt + 3
+                        && (line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 "));
+    if (!shaped || (line.size() > statusAt + 3 && line[statusAt + 3] != ' '))
+        return badRequest;
+    int status = 0;
+    const char *begin = line.data() + statusAt;
+    const auto parsed = std::from_chars(begin, begin + 3, status);
+    if (parsed.ptr != begin + 3 || status < 100 || status > 599)
+        return badRequest;
+    head.setVersion(std::string(line.substr(0, statusAt - 1)));
+    head.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    head.setReason(line.size() > reasonAt ? std::string(line.substr(reasonAt)) : "");
+    return 0;
+}
+
+template <typename Head>
+static bool isWithoutBody(const Head &head)
+{
+    if constexpr (std::is_same_v<Head, Poco::Net::HTTPResponse>) {
+        const int status = head.getStatus();
+        return status < 200 || status == 204 || status == 304;
+    } else {
+        return false;
+    }
+}
+
+template <typename Head>
+bool HttpReader<Head>::fail(int status)
+{
+    this->error = status;
+    return false;
+}
+
+template <typename Head>
+HttpMessage<Head> HttpReader<Head>::take()
+{
+    HttpMessage<Head> message = std::move(*this->partial);
+    this->partial.reset();
+    return message;
+}
 
 template <typename Head>
 std::optional<HttpMessage<Head>> HttpReader<Head>::next()
@@ -23,73 +123,164 @@
         return std::nullopt;
     if (!this->partial && !this->parseHead())
         return std::nullopt;
-    if (this->buffer.size() < this->bodyLength)
+    if (!this->readBody())
         return std::nullopt;
-    this->partial->body = this->buffer.substr(0, this->bodyLength);
-    this->buffer.erase(0, this->bodyLength);
-    std::optional<HttpMessage<Head>> message = std::move(this->partial);
-    this->partial.reset();
-    return message;
+    return this->take();
+}
+
+template <typename Head>
+std::optional<HttpMessage<Head>> HttpReader<Head>::finish()
+{
+    if (this->error != 0 || !this->partial || this->framing != Framing::UntilEnd)
+        return std::nullopt;
+    this->partial->body = std::move(this->buffer);
+    this->buffer.clear();
+    return this->take();
 }
 
 template <typename Head>
 bool HttpReader<Head>::parseHead()
 {
     const std::size_t end = this->buffer.find(headEnd);
-    if (end == std::string::npos) {
-        if (this->buffer.size() > this->limits.head)
-            this->error = headTooLarge;
-        return false;
-    }
-    if (end > this->limits.head) {
-        this->error = headTooLarge;
-        return false;
-    }
-    std::istringstream stream(this->buffer.substr(0, end + headEnd.size()));
-    this->buffer.erase(0, end + headEnd.size());
+    if (end == std::string::npos)
+        return this->buffer.size() > this->limits.head ? this->fail(headTooLarge) : false;
+    if (end > this->limits.head)
+        return this->fail(headTooLarge);
     this->partial.emplace();
-    try {
-        this->partial->head.read(stream);
-    } catch (const Poco::Exception &) {
-        this->error = badRequest;
-    }
-    if (this->error == 0 && !this->checkLength())
+    const std::string_view head = std::string_view(this->buffer).substr(0, end);
+    const std::size_t lineSize = std::min(head.find(lineEnd), head.size());
+    const int refused = readStartLine(head.substr(0, lineSize), this->partial->head);
+    bool good = refused == 0 ? true : this->fail(refused);
+    good = good && this->parseFields(head.substr(std::min(head.size(), lineSize + 2)));
+    this->buffer.erase(0, end + headEnd.size());
+    good = good && this->chooseFraming();
+    if (!good)
         this->partial.reset();
-    return this->error == 0;
+    return good;
+}
+
+template <typename Head>
+bool HttpReader<Head>::parseFields(std::string_view text)
+{
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find(lineEnd), text.size());
+        const std::string_view line = text.substr(0, end);
+        text.remove_prefix(std::min(text.size(), end + lineEnd.size()));
+        const std::size_t colon = line.find(':');
+        if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
+            return this->fail(badRequest);
+        const std::string_view value = trimmed(line.substr(colon + 1));
+        if (!isPlain(value))
+            return this->fail(badRequest);
+        this->partial->head.add(std::string(line.substr(0, colon)), std::string(value));
+    }
+    return true;
 }
 
 template <typename Head>
-bool HttpReader<Head>::checkLength()
+bool HttpReader<Head>::chooseFraming()
 {
     const Head &head = this->partial->head;
+    this->framing = Framing::Length;
     this->bodyLength = 0;
-    if (head.getChunkedTransferEncoding() || head.has("Transfer-Encoding")) {
-        this->error = lengthRequired;
-        return false;
+    this->lastChunkSeen = false;
+    const bool bodyless = this->noBody || isWithoutBody(head);
+    this->noBody = false;
+    if (bodyless)
+        return true;
+    if (head.has(encodingField)) {
+        const auto values = std::count_if(head.begin(), head.end(), [](const auto &field) {
+            return Poco::icompare(field.first, encodingField) == 0;
+        });
+        // Chunks and a length together could be read differently by two hops.
+        if (head.has(lengthField) || values != 1 || head.getVersion() != "HTTP/1.1"
+            || Poco::icompare(head.get(encodingField), std::string("chunked")) != 0)
+            return this->fail(badRequest);
+        this->framing = Framing::Chunked;
+        return true;
     }
+    if (head.has(lengthField))
+        return this->readLength();
+    if constexpr (std::is_same_v<Head, Poco::Net::HTTPResponse>)
+        this->framing = Framing::UntilEnd;
+    return true;
+}
+
+template <typename Head>
+bool HttpReader<Head>::readLength()
+{
+    const Head &head = this->partial->head;
     const auto count = std::count_if(head.begin(), head.end(), [](const auto &field) {
         return Poco::icompare(field.first, lengthField) == 0;
     });
-    if (count == 0)
-        return true;
-    Poco::UInt64 length = 0;
-    const std::string text = head.get(lengthField);
-    const bool digits = !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-        return c >= '0' && c <= '9';
-    });
+    const std::string &text = head.get(lengthField);
+    std::uint64_t length = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), length);
     // Two lengths could be read differently by two hops.
-    if (count > 1 || !digits || !Poco::NumberParser::tryParseUnsigned64(text, length)) {
-        this->error = badRequest;
-        return false;
+    if (count > 1 || text.empty() || parsed.ec != std::errc()
+        || parsed.ptr != text.data() + text.size())
+        return this->fail(badRequest);
+    if (length > this->limits.body)
+        return this->fail(bodyTooLarge);
+    this->bodyLength = static_cast<std::size_t>(length);
+    return true;
+}
+
+template <typename Head>
+bool HttpReader<Head>::readBody()
+{
+    switch (this->framing) {
+    case Framing::Chunked:
+        return this->readChunks();
+    case Framing::UntilEnd:
+        return this->buffer.size() > this->limits.body ? this->fail(bodyTooLarge) : false;
+    case Framing::Length:
+        break;
     }
-    if (length > this->limits.body) {
-        this->error = bodyTooLarge;
+    if (this->buffer.size() < this->bodyLength)
         return false;
-    }
-    this->bodyLength = static_cast<std::size_t>(length);
+    this->partial->body = this->buffer.substr(0, this->bodyLength);
+    this->buffer.erase(0, this->bodyLength);
     return true;
 }
 
+template <typename Head>
+bool HttpReader<Head>::readChunks()
+{
+    while (true) {
+        const std::size_t end = this->buffer.find(lineEnd);
+        if (end == std::string::npos)
+            return this->buffer.size() > longestChunkLine ? this->fail(badRequest) : false;
+        if (this->lastChunkSeen) {
+            // Trailing fields are dropped; an empty line ends the message.
+            this->buffer.erase(0, end + lineEnd.size());
+            if (end == 0)
+                return true;
+            continue;
+        }
+        std::uint64_t size = 0;
+        const char *text = this->buffer.data();
+        const auto parsed = std::from_chars(text, text + end, size, 16);
+        const bool ended = parsed.ptr == text + end || *parsed.ptr == ';';
+        if (end > longestChunkLine || parsed.ec != std::errc() || parsed.ptr == text || !ended)
+            return this->fail(badRequest);
+        if (size > this->limits.body || this->partial->body.size() + size > this->limits.body)
+            return this->fail(bodyTooLarge);
+        const std::size_t whole = end + lineEnd.size();
+        if (size == 0) {
+            this->lastChunkSeen = true;
+            this->buffer.erase(0, whole);
+            continue;
+        }
+        if (this->buffer.size() < whole + size + lineEnd.size())
+            return false;
+        if (this->buffer.compare(whole + size, lineEnd.size(), lineEnd) != 0)
+            return this->fail(badRequest);
+        this->partial->body.append(this->buffer, whole, size);
+        this->buffer.erase(0, whole + size + lineEnd.size());
+    }
+}
+
 template class HttpReader<Poco::Net::HTTPRequest>;
 template class HttpReader<Poco::Net::HTTPResponse>;
 
--- a/src/connection/httpreader.h
+++ b/src/connection/httpreader.h
@@ -17,7 +17,7 @@
     std::size_t body = 1'048'576;
 };
 
-// A message whose head was parsed by POCO.
+// A message with its body; chunks are joined.
 template <typename Head>
 struct HttpMessage
 {
@@ -28,7 +28,11 @@
 using HttpRequest = HttpMessage<Poco::Net::HTTPRequest>;
 using HttpResponse = HttpMessage<Poco::Net::HTTPResponse>;
 
-// Collects bytes and returns whole messages. Bodies need a Content-Length.
+// Collects bytes and returns whole messages.
+//
+// A head is refused unless every hop must read it alike: a length and chunks together, two
+// lengths, a folded line, a space before a colon or a control character end the stream with an
+// error. A response without a length ends with its connection.
 template <typename Head>
 class HttpReader
 {
@@ -43,17 +47,36 @@
     // errorStatus tells the HTTP status to answer with, and nothing more is returned.
     std::optional<HttpMessage<Head>> next();
 
+    // Tells that the peer ended its stream in order. Returns the response that ends with it.
+    std::optional<HttpMessage<Head>> finish();
+
+    // Sets that the next message has no body, whatever its head says.
+    void expectNoBody() { this->noBody = true; }
+
+    void setLimits(const HttpLimits &next) { this->limits = next; }
+
     int errorStatus() const { return this->error; }
-    bool hasPartial() const { return !this->buffer.empty(); }
+    bool hasPartial() const { return this->partial || !this->buffer.empty(); }
 
 private:
+    enum class Framing { Length, Chunked, UntilEnd };
+
     bool parseHead();
-    bool checkLength();
+    bool parseFields(std::string_view text);
+    bool chooseFraming();
+    bool readLength();
+    bool readBody();
+    bool readChunks();
+    bool fail(int status);
+    HttpMessage<Head> take();
 
     HttpLimits limits;
     std::string buffer;
     std::optional<HttpMessage<Head>> partial;
+    Framing framing = Framing::Length;
     std::size_t bodyLength = 0;
+    bool lastChunkSeen = false;
+    bool noBody = false;
     int error = 0;
 };
 
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -2,6 +2,8 @@
 
 #include "quetzal/steadyclock.h"
 
+#include <algorithm>
+
 #include <Poco/Net/NetException.h>
 
 namespace quetzal {
@@ -16,11 +18,10 @@
     HttpServerConnection(HttpServer &server, EventLoop &loop)
         : server(server.weak_from_this())
         , loop(loop)
-        , options(server.options)
         , reader(server.options.limits)
     {}
 
-    void start(const Poco::Net::StreamSocket &socket)
+    void start(const HttpServer &server, const Poco::Net::StreamSocket &socket)
     {
         // The server owns the connection, the connection its stream: the callbacks own neither.
         const std::weak_ptr<HttpServerConnection> weak = this->weak_from_this();
@@ -34,7 +35,7 @@
                 self->onClosed();
         };
         this->stream = TcpStream::accept(this->loop, socket, std::move(callbacks));
-        this->armTimer(this->options.idleTime);
+        this->armTimer(server.options.idleTime);
     }
 
     void answer(HttpExchange &exchange, int status, const std::vector<HttpField> &fields,
@@ -42,14 +43,17 @@
     {
         if (this->current.get() != &exchange || this->silent)
             return;
-        const bool keep = exchange.message.head.getKeepAlive() && !this->closeAfterAnswer;
-        this->send(status, fields, body, contentType, keep);
+        const auto owner = this->server.lock();
+        const bool closing = this->closeAfterAnswer || !owner || owner->closing;
+        const bool keep = exchange.message.head.getKeepAlive() && !closing;
+        const bool withBody = exchange.message.head.getMethod() != "HEAD";
+        this->send(status, fields, body, contentType, keep, withBody);
         this->current.reset();
         if (!keep) {
             this->closeWhenSent();
             return;
         }
-        this->armTimer(this->options.idleTime);
+        this->armTimer(owner->options.idleTime);
         this->handleNext();
     }
 
@@ -70,13 +74,18 @@
 
     void silence() { this->silent = true; }
 
+    bool isBusy() const { return this->current != nullptr || this->reader.hasPartial(); }
+
 private:
     void onData(std::string_view data)
     {
         if (this->silent)
             return;
-        if (!this->reader.hasPartial() && !this->current)
-            this->armTimer(this->options.requestTime);
+        const auto owner = this->server.lock();
+        if (owner && !this->reader.hasPartial() && !this->current) {
+            this->reader.setLimits(owner->options.limits);
+            this->armTimer(owner->options.requestTime);
+        }
         this->reader.feed(data);
         if (!this->current)
             this->handleNext();
@@ -105,27 +114,31 @@
 
     void refuse(int status)
     {
+        // Until the refusal is out nothing more is read from this connection.
+        this->silent = true;
         const std::string body = "{\"error\":\"bad-request\",\"verdict\":\"not-run\",\"status\":"
                                  + std::to_string(status) + "}";
-        this->send(status, {}, body, "application/json", false);
+        this->send(status, {}, body, "application/json", false, true);
         this->closeWhenSent();
     }
 
     void send(int status, const std::vector<HttpField> &fields, const std::string &body,
-              const std::string &contentType, bool keep)
+              const std::string &contentType, bool keep, bool withBody)
     {
         using Poco::Net::HTTPResponse;
         const auto code = static_cast<HTTPResponse::HTTPStatus>(status);
         std::string text = "HTTP/1.1 " + std::to_string(status) + " "
                            + HTTPResponse::getReasonForStatus(code) + "\r\n";
-        text += "Content-Type: " + contentType + "\r\n";
+        if (!contentType.empty())
+            text += "Content-Type: " + contentType + "\r\n";
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
         if (!keep)
             text += "Connection: close\r\n";
         for (const HttpField &field : fields)
             text += field.name + ": " + field.value + "\r\n";
         text += "\r\n";
-        text += body;
+        if (withBody)
+            text += body;
         this->stream->write(text);
     }
 
@@ -175,7 +188,6 @@
 
     std::weak_ptr<HttpServer> server;
     EventLoop &loop;
-    HttpServerOptions options;
     HttpReader<Poco::Net::HTTPRequest> reader;
     std::shared_ptr<TcpStream> stream;
     std::shared_ptr<HttpExchange> current;
@@ -224,13 +236,13 @@
         const auto connection = std::make_shared<HttpServerConnection>(*this, this->loop);
         this->connections.insert(connection);
         if (this->options.acceptDelay <= Millis(0)) {
-            connection->start(accepted);
+            connection->start(*this, accepted);
             return;
         }
         this->loop.schedule(SteadyClock::now() + this->options.acceptDelay,
                             [self = this->shared_from_this(), connection, accepted] {
                                 if (self->connections.contains(connection))
-                                    connection->start(accepted);
+                                    connection->start(*self, accepted);
                             });
     } catch (const Poco::Exception &) {
         // The caller was gone before it was accepted.
@@ -250,6 +262,13 @@
         connection->closeGracefully();
 }
 
+std::size_t HttpServer::busyConnections() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(this->connections.begin(), this->connections.end(),
+                          [](const auto &connection) { return connection->isBusy(); }));
+}
+
 void HttpServer::closeAll()
 {
     if (this->accepting) {
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -35,7 +35,8 @@
 
     const HttpRequest &request() const { return this->message; }
 
-    // Sends the answer. Does nothing if the caller went away or was answered.
+    // Sends the answer. Does nothing if the caller went away or was answered. An empty content
+    // type leaves the field out.
     void respond(int status, const std::vector<HttpField> &fields, const std::string &body,
                  const std::string &contentType = "application/json");
 
@@ -79,6 +80,16 @@
     // Stops accepting. Open exchanges go on; idle connections are closed.
     void stopAccepting();
 
+    // Goes on accepting and serving, but tells callers to open another connection after each
+    // answer. Idle connections stay open.
+    void announceClose() { this->closing = true; }
+
+    // Replaces the limits, for open connections from their next request on.
+    void setOptions(const HttpServerOptions &next) { this->options = next; }
+
+    // Returns the connections with a request that is read in part or not answered.
+    std::size_t busyConnections() const;
+
     // Closes everything at once, as a crash would.
     void closeAll();
 
@@ -107,6 +118,7 @@
     Poco::Net::ServerSocket socket;
     std::unordered_set<std::shared_ptr<HttpServerConnection>> connections;
     bool accepting = true;
+    bool closing = false;
 };
 
 } // namespace quetzal
--- /dev/null
+++ b/src/connection/searcherlink.cpp
@@ -0,0 +1,302 @@
+#include "connection/searcherlink.h"
+
+#include "quetzal/fault.h"
+#include "quetzal/steadyclock.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace quetzal {
+
+static constexpr HttpLimits replyLimits = { 65'536, 16'777'216 };
+static constexpr Millis connectTime = Millis(400);
+// Time for which the reply to abandoned work is awaited, so that its connection can be kept.
+static constexpr Millis lingerTime = Millis(250);
+// Time after its deadline at which a connection without a reply is taken for silent.
+static constexpr Millis silenceTime = Millis(300);
+static constexpr Millis defaultKeepAlive = Millis(4000);
+// A searcher may close an idle connection this much before the time it stated.
+static constexpr Millis keepAliveMargin = Millis(700);
+
+SearcherLink::SearcherLink(EventLoop &loop, Metrics &metrics, const Dialect &dialect,
+                           std::string searcher, const std::string &address,
+                           SearcherLinkCallbacks callbacks)
+    : loop(loop)
+    , metrics(metrics)
+    , dialect(dialect)
+    , searcher(std::move(searcher))
+    , address(address)
+    , callbacks(std::move(callbacks))
+{}
+
+SearcherLink::~SearcherLink()
+{
+    for (const ConnectionPtr &connection : this->connections) {
+        if (connection->stream)
+            connection->stream->close();
+    }
+}
+
+void SearcherLink::submit(const AttemptId &id, std::shared_ptr<const OutboundRequest> request,
+                          Millis deadline)
+{
+    this->waiting.push_back({ id, std::move(request), deadline });
+    this->pump();
+}
+
+void SearcherLink::pump()
+{
+    const Millis now = SteadyClock::now();
+    std::size_t connecting = 0;
+    const std::vector<ConnectionPtr> present = this->connections;
+    for (const ConnectionPtr &connection : present) {
+        if (this->waiting.empty())
+            return;
+        if (connection->work)
+            continue;
+        if (!connection->stream->isConnected()) {
+            ++connecting;
+            continue;
+        }
+        if (now - connection->idleSince > connection->keepAlive) {
+            this->drop(connection);
+            continue;
+        }
+        Work next = std::move(this->waiting.front());
+        this->waiting.pop_front();
+        this->send(connection, std::move(next));
+    }
+    while (connecting < this->waiting.size() && this->connections.size() < this->limit) {
+        this->openConnection();
+        ++connecting;
+    }
+}
+
+void SearcherLink::openConnection()
+{
+    const auto connection = std::make_shared<Connection>(replyLimits);
+    connection->openedAt = SteadyClock::now();
+    connection->keepAlive = defaultKeepAlive;
+    const std::weak_ptr<SearcherLink> weak = this->weak_from_this();
+    const std::weak_ptr<Connection> weakConnection = connection;
+    const auto withBoth = [weak, weakConnection](auto action) {
+        const auto self = weak.lock();
+        const auto target = weakConnection.lock();
+        if (self && target)
+            action(*self, target);
+    };
+    StreamCallbacks streamCallbacks;
+    streamCallbacks.onConnected = [withBoth] {
+        withBoth([](SearcherLink &self, const ConnectionPtr &target) { self.onConnected(target); });
+    };
+    streamCallbacks.onData = [withBoth](std::string_view data) {
+        withBoth([data](SearcherLink &self, const ConnectionPtr &target) {
+            self.onData(target, data);
+        });
+    };
+    streamCallbacks.onClosed = [withBoth] {
+        withBoth([](SearcherLink &self, const ConnectionPtr &target) { self.onClosed(target); });
+    };
+    this->metrics.add(Counter::Connects);
+    this->connections.push_back(connection);
+    connection->stream = TcpStream::connect(this->loop, this->address, std::move(streamCallbacks));
+}
+
+void SearcherLink::onConnected(const ConnectionPtr &connection)
+{
+    connection->idleSince = SteadyClock::now();
+    this->pump();
+}
+
+void SearcherLink::send(const ConnectionPtr &connection, Work &&work)
+{
+    const Millis now = SteadyClock::now();
+    const Millis left = work.deadline - now;
+    if (left < Millis(1)) {
+        this->end(work.id, Verdict::NotRun, Fault::DeadlinePassed, Hop::Entry);
+        return;
+    }
+    if (work.request->method == "HEAD")
+        connection->reader.expectNoBody();
+    connection->abandoned = false;
+    connection->giveUpAt = work.deadline + silenceTime;
+    connection->writtenBefore = connection->stream->bytesWritten();
+    const std::string bytes = this->dialect.encode(*work.request, this->searcher, left);
+    connection->work = std::move(work);
+    connection->stream->write(bytes);
+}
+
+void SearcherLink::abandon(const AttemptId &id)
+{
+    const auto queued = std::find_if(this->waiting.begin(), this->waiting.end(),
+                                     [&](const Work &work) { return work.id == id; });
+    if (queued != this->waiting.end()) {
+        this->waiting.erase(queued);
+        this->end(id, Verdict::NotRun, Fault::Cancelled, Hop::Entry);
+        return;
+    }
+    for (const ConnectionPtr &connection : this->connections) {
+        if (!connection->work || connection->work->id != id)
+            continue;
+        connection->abandoned = true;
+        if (connection->work->request->repeatable)
+            connection->giveUpAt = SteadyClock::now() + lingerTime;
+        return;
+    }
+}
+
+void SearcherLink::onData(const ConnectionPtr &connection, std::string_view data)
+{
+    const std::shared_ptr<SearcherLink> self = this->shared_from_this();
+    // Bytes that nobody asked for would be read as the reply to the next request.
+    if (!connection->work) {
+        this->metrics.add(Counter::ReplyMismatches);
+        this->drop(connection);
+        return;
+    }
+    connection->reader.feed(data);
+    while (connection->work) {
+        std::optional<HttpResponse> response = connection->reader.next();
+        if (connection->reader.errorStatus() != 0) {
+            this->fail(connection, Fault::ReplyMismatch);
+            return;
+        }
+        if (!response)
+            return;
+        const bool interim = response->head.getStatus() < 200;
+        if (interim)
+            continue;
+        if (this->takeReply(connection, std::move(*response)))
+            return;
+    }
+}
+
+// Returns false if the reply was for another request, and the right one may still come.
+bool SearcherLink::takeReply(const ConnectionPtr &connection, HttpResponse &&response)
+{
+    const bool keepAlive = response.head.getKeepAlive();
+    const std::string keepField = response.head.get("Keep-Alive", "");
+    SearcherReply reply = this->dialect.decode(std::move(response), *connection->work->request);
+    if (reply.owner == ReplyOwner::Another) {
+        this->metrics.add(Counter::ReplyMismatches);
+        connection->reusable = false;
+        return false;
+    }
+    const std::size_t at = keepField.find("timeout=");
+    if (at != std::string::npos) {
+        int seconds = 0;
+        const char *digits = keepField.data() + at + std::string_view("timeout=").size();
+        std::from_chars(digits, keepField.data() + keepField.size(), seconds);
+        static constexpr double millisPerSecond = 1000;
+        connection->keepAlive = Millis(seconds * millisPerSecond) - keepAliveMargin;
+    }
+    const AttemptId id = connection->work->id;
+    const Outcome outcome = this->judge(reply);
+    if (reply.load && this->callbacks.onLoad)
+        this->callbacks.onLoad(*reply.load);
+    const bool surplus = connection->reader.hasPartial();
+    connection->work.reset();
+    this->release(connection, keepAlive && !surplus && connection->reusable);
+    this->callbacks.onEnd(id, outcome, std::move(reply));
+    this->pump();
+    return true;
+}
+
+Outcome SearcherLink::judge(const SearcherReply &reply) const
+{
+    static constexpr int statusOk = 200;
+    static constexpr int statusMultipleChoices = 300;
+    if (reply.notRun)
+        return { Verdict::NotRun, Fault::Shed, Hop::Searcher };
+    if (reply.seal.empty())
+        return { Verdict::MayHaveRun, Fault::ReplyMismatch, Hop::Searcher };
+    if (reply.status < statusOk || reply.status >= statusMultipleChoices)
+        return { Verdict::Ran, Fault::SearcherError, Hop::Searcher };
+    return { Verdict::Ran, {}, Hop::Searcher };
+}
+
+void SearcherLink::release(const ConnectionPtr &connection, bool keep)
+{
+    connection->idleSince = SteadyClock::now();
+    connection->giveUpAt = Millis::never();
+    connection->answeredBefore = true;
+    if (!keep || this->retired)
+        this->drop(connection);
+}
+
+void SearcherLink::drop(const ConnectionPtr &connection)
+{
+    std::erase(this->connections, connection);
+    connection->stream->close();
+}
+
+void SearcherLink::onClosed(const ConnectionPtr &connection)
+{
+    const std::shared_ptr<SearcherLink> self = this->shared_from_this();
+    std::erase(this->connections, connection);
+    if (!connection->work) {
+        // The connection never came about: what waited for it was not sent.
+        const bool refused = !connection->stream->isConnected();
+        if (refused && this->connections.empty() && !this->waiting.empty()) {
+            std::deque<Work> failed = std::move(this->waiting);
+            this->waiting.clear();
+            for (const Work &work : failed)
+                this->end(work.id, Verdict::NotRun, Fault::ConnectFailed, Hop::Entry);
+        }
+        return;
+    }
+    if (connection->stream->endedInOrder()) {
+        std::optional<HttpResponse> response = connection->reader.finish();
+        if (response && this->takeReply(connection, std::move(*response)))
+            return;
+    }
+    this->fail(connection, Fault::ConnectionReset);
+}
+
+void SearcherLink::fail(const ConnectionPtr &connection, Fault fault)
+{
+    const AttemptId id = connection->work->id;
+    const bool sent = connection->stream->bytesWritten() > connection->writtenBefore;
+    connection->work.reset();
+    this->drop(connection);
+    this->end(id, sent ? Verdict::MayHaveRun : Verdict::NotRun, fault, Hop::Entry);
+    this->pump();
+}
+
+void SearcherLink::end(const AttemptId &id, Verdict verdict, Fault fault, Hop hop)
+{
+    this->callbacks.onEnd(id, { verdict, fault, hop }, SearcherReply());
+}
+
+void SearcherLink::sweep(Millis now)
+{
+    const std::shared_ptr<SearcherLink> self = this->shared_from_this();
+    const std::vector<ConnectionPtr> present = this->connections;
+    for (const ConnectionPtr &connection : present) {
+        if (connection->work) {
+            if (now < connection->giveUpAt)
+                continue;
+            if (!connection->abandoned)
+                this->metrics.add(Counter::SilentConnections);
+            this->fail(connection, Fault::SilentConnection);
+        } else if (!connection->stream->isConnected()) {
+            if (now - connection->openedAt < connectTime)
+                continue;
+            connection->stream->close();
+            this->onClosed(connection);
+        } else if (now - connection->idleSince > connection->keepAlive || this->retired) {
+            this->drop(connection);
+        }
+    }
+    this->pump();
+}
+
+void SearcherLink::expireWaiting()
+{
+    std::deque<Work> expired = std::move(this->waiting);
+    this->waiting.clear();
+    for (const Work &work : expired)
+        this->end(work.id, Verdict::NotRun, Fault::ProcessPaused, Hop::Entry);
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/src/connection/searcherlink.h
@@ -0,0 +1,115 @@
+// The connections of this host to one registered searcher.
+#pragma once
+
+#include "connection/dialect.h"
+#include "connection/tcpstream.h"
+#include "process/metrics.h"
+#include "quetzal/fault.h"
+#include "quetzal/verdict.h"
+#include "request/attempt.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace quetzal {
+
+// What an owner of links is told. onEnd comes once for each attempt that was submitted, also after
+// it was abandoned, unless it was abandoned before it was sent.
+struct SearcherLinkCallbacks
+{
+    std::function<void(const AttemptId &, const Outcome &, SearcherReply &&)> onEnd;
+    std::function<void(const LoadReport &)> onLoad;
+};
+
+// Sends attempts to one life of a searcher, one at a time on each connection, and tells how they
+// ended. Used on its loop's thread only.
+class SearcherLink : public std::enable_shared_from_this<SearcherLink>
+{
+public:
+    SearcherLink(EventLoop &loop, Metrics &metrics, const Dialect &dialect, std::string searcher,
+                 const std::string &address, SearcherLinkCallbacks callbacks);
+    ~SearcherLink();
+    SearcherLink(const SearcherLink &) = delete;
+    SearcherLink &operator=(const SearcherLink &) = delete;
+
+    // Sends an attempt now or as soon as a connection is free.
+    void submit(const AttemptId &id, std::shared_ptr<const OutboundRequest> request,
+                Millis deadline);
+
+    // Nobody waits for an attempt any more. Its connection is kept if the reply comes soon, else
+    // closed, which cancels the work; an attempt that may not be repeated runs to its end.
+    void abandon(const AttemptId &id);
+
+    // Closes connections that wait in vain, have been idle too long or are not needed.
+    void sweep(Millis now);
+
+    // Ends waiting attempts that this process slept over.
+    void expireWaiting();
+
+    void setConnectionLimit(std::uint32_t limit) { this->limit = limit; }
+
+    // Closes connections as they fall idle.
+    void retire() { this->retired = true; }
+
+    bool isIdle() const { return this->connections.empty() && this->waiting.empty(); }
+
+private:
+    struct Work
+    {
+        AttemptId id;
+        std::shared_ptr<const OutboundRequest> request;
+        Millis deadline;
+    };
+
+    // One connection. Busy while it holds work that was sent.
+    struct Connection
+    {
+        explicit Connection(const HttpLimits &limits)
+            : reader(limits)
+        {}
+
+        std::shared_ptr<TcpStream> stream;
+        HttpReader<Poco::Net::HTTPResponse> reader;
+        std::optional<Work> work;
+        bool abandoned = false;
+        bool reusable = true;
+        bool answeredBefore = false;
+        Millis openedAt;
+        // Since when it is idle, or if busy, when to give up on it.
+        Millis idleSince;
+        Millis giveUpAt = Millis::never();
+        Millis keepAlive;
+        std::uint64_t writtenBefore = 0;
+    };
+
+    using ConnectionPtr = std::shared_ptr<Connection>;
+
+    void openConnection();
+    void pump();
+    void send(const ConnectionPtr &connection, Work &&work);
+    void onConnected(const ConnectionPtr &connection);
+    void onData(const ConnectionPtr &connection, std::string_view data);
+    void onClosed(const ConnectionPtr &connection);
+    bool takeReply(const ConnectionPtr &connection, HttpResponse &&response);
+    Outcome judge(const SearcherReply &reply) const;
+    void release(const ConnectionPtr &connection, bool keep);
+    void drop(const ConnectionPtr &connection);
+    void fail(const ConnectionPtr &connection, Fault fault);
+    void end(const AttemptId &id, Verdict verdict, Fault fault, Hop hop);
+
+    EventLoop &loop;
+    Metrics &metrics;
+    const Dialect &dialect;
+    std::string searcher;
+    Poco::Net::SocketAddress address;
+    SearcherLinkCallbacks callbacks;
+    std::uint32_t limit = 1;
+    bool retired = false;
+    std::vector<ConnectionPtr> connections;
+    std::deque<Work> waiting;
+};
+
+} // namespace quetzal
--- a/src/connection/tcpstream.cpp
+++ b/src/connection/tcpstream.cpp
@@ -4,12 +4,16 @@
 
 #include <array>
 
+#include <netinet/tcp.h>
+
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketDefs.h>
 
 namespace quetzal {
 
 static constexpr std::size_t readBytes = 65'536;
+// Time after which a connection whose bytes stay unacknowledged is given up.
+static constexpr int unacknowledgedMs = 3000;
 
 TcpStream::TcpStream(EventLoop &loop, const Poco::Net::StreamSocket &socket,
                      StreamCallbacks callbacks)
@@ -32,7 +36,7 @@
     std::shared_ptr<TcpStream> stream(new TcpStream(loop, socket, std::move(callbacks)));
     try {
         stream->socket.connectNB(address);
-        stream->socket.setNoDelay(true);
+        stream->setOptions();
         stream->wantsWrite = true;
         loop.add(stream->socket, stream, true);
     } catch (const Poco::Exception &) {
@@ -46,12 +50,23 @@
 {
     std::shared_ptr<TcpStream> stream(new TcpStream(loop, socket, std::move(callbacks)));
     stream->socket.setBlocking(false);
-    stream->socket.setNoDelay(true);
+    stream->setOptions();
     stream->connected = true;
     loop.add(stream->socket, stream, false);
     return stream;
 }
 
+void TcpStream::setOptions()
+{
+    try {
+        this->socket.setNoDelay(true);
+        this->socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMs);
+    } catch (const Poco::Exception &) {
+        // The peer is gone already, which the next read tells.
+        return;
+    }
+}
+
 void TcpStream::write(std::string_view bytes)
 {
     if (!this->open)
@@ -125,6 +140,7 @@
             if (count < 0)
                 return;
             if (count == 0) {
+                this->ended = true;
                 this->fail();
                 return;
             }
--- a/src/connection/tcpstream.h
+++ b/src/connection/tcpstream.h
@@ -46,6 +46,9 @@
     bool isOpen() const { return this->open; }
     bool isConnected() const { return this->connected; }
 
+    // True if the peer ended its side in order, without a reset.
+    bool endedInOrder() const { return this->ended; }
+
     // Returns the bytes handed to the kernel since the stream began.
     std::uint64_t bytesWritten() const { return this->written; }
 
@@ -60,6 +63,7 @@
     TcpStream(EventLoop &loop, const Poco::Net::StreamSocket &socket, StreamCallbacks callbacks);
     void flush();
     void fail();
+    void setOptions();
 
     EventLoop &loop;
     Poco::Net::StreamSocket socket;
@@ -68,6 +72,7 @@
     std::uint64_t written = 0;
     bool connected = false;
     bool open = true;
+    bool ended = false;
     bool wantsWrite = false;
 };
 
--- a/src/process/eventlog.cpp
+++ b/src/process/eventlog.cpp
@@ -1,14 +1,77 @@
 #include "process/eventlog.h"
 
+#include <cerrno>
+#include <cstdio>
+
+#include <fcntl.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
 
 namespace quetzal {
 
+namespace {
+
+// Writes whole lines to standard output without ever waiting for its reader.
+class NonBlockingAppender final : public log4cplus::Appender
+{
+public:
+    NonBlockingAppender()
+    {
+        const int flags = fcntl(STDOUT_FILENO, F_GETFL, 0);
+        if (flags >= 0)
+            fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+    ~NonBlockingAppender() override { this->destructorImpl(); }
+    void close() override { this->closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        if (this->lost > 0 && !this->write("lines-lost count=" + std::to_string(this->lost) + "\n"))
+            return this->lose();
+        this->lost = 0;
+        if (!this->write(this->formatEvent(event)))
+            this->lose();
+    }
+
+private:
+    void lose() { this->lost += 1; }
+
+    // Returns false if nothing of the line was written. The rest of a line that was cut is dropped.
+    static bool write(const std::string &line)
+    {
+        const ssize_t count = ::write(STDOUT_FILENO, line.data(), line.size());
+        return count > 0;
+    }
+
+    std::uint64_t lost = 0;
+};
+
+void useAppender(log4cplus::SharedAppenderPtr appender)
+{
+    appender->setLayout(
+            std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"));
+    log4cplus::Logger logger = log4cplus::Logger::getInstance("quetzal");
+    logger.removeAllAppenders();
+    logger.addAppender(std::move(appender));
+    logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+}
+
+} // namespace
+
+void startConsoleLog()
+{
+    static const log4cplus::Initializer initializer;
+    useAppender(log4cplus::SharedAppenderPtr(new NonBlockingAppender()));
+}
+
 void startLog(const std::string &path)
 {
     static const log4cplus::Initializer initializer;
@@ -17,12 +80,7 @@
         appender = new log4cplus::ConsoleAppender(true, true);
     else
         appender = new log4cplus::FileAppender(path, std::ios_base::app);
-    appender->setLayout(
-            std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"));
-    log4cplus::Logger logger = log4cplus::Logger::getInstance("quetzal");
-    logger.removeAllAppenders();
-    logger.addAppender(appender);
-    logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+    useAppender(appender);
 }
 
 void logEvent(LogEvent event, const std::string &fields)
--- a/src/process/eventlog.h
+++ b/src/process/eventlog.h
@@ -35,6 +35,17 @@
     ReplyMismatch,
     Outlier,
     TraceDropped,
+    SettingsReloaded,
+    TablesRefused,
+    SearcherRegistered,
+    SearcherState,
+    RequestEnded,
+    RequestRefused,
+    AttemptFailed,
+    CallerGone,
+    PeersChanged,
+    PeerViewTaken,
+    StoreListed,
 };
 
 // How much an event matters.
@@ -49,7 +60,7 @@
 };
 
 // In the order of the enumerators.
-inline constexpr std::array<LogEventInfo, 25> logEvents = { {
+inline constexpr std::array<LogEventInfo, 36> logEvents = { {
         { 1001, "started", LogLevel::Info },
         { 1002, "ready", LogLevel::Info },
         { 1003, "not-ready", LogLevel::Warning },
@@ -75,11 +86,26 @@
         { 2202, "reply-mismatch", LogLevel::Error },
         { 2203, "searcher-outlier", LogLevel::Warning },
         { 3101, "trace-dropped", LogLevel::Warning },
+        { 1008, "settings-reloaded", LogLevel::Info },
+        { 1105, "tables-refused", LogLevel::Error },
+        { 2108, "searcher-registered", LogLevel::Info },
+        { 2109, "searcher-state", LogLevel::Info },
+        { 2301, "request-ended", LogLevel::Info },
+        { 2302, "request-refused", LogLevel::Info },
+        { 2303, "attempt-failed", LogLevel::Info },
+        { 2304, "caller-gone", LogLevel::Info },
+        { 1207, "peers-changed", LogLevel::Info },
+        { 1208, "peer-view-taken", LogLevel::Info },
+        { 1106, "store-listed", LogLevel::Info },
 } };
 
 // Sets where log lines go: a file, or standard error if the path is empty.
 void startLog(const std::string &path);
 
+// Sends log lines to standard output. A line that would have to wait is dropped; the next one that
+// can be written is preceded by the number of those that were lost.
+void startConsoleLog();
+
 // Writes one line: "QZ1001 started FIELDS". Fields are key=value pairs.
 void logEvent(LogEvent event, const std::string &fields);
 
--- a/src/process/eventloop.cpp
+++ b/src/process/eventloop.cpp
@@ -37,6 +37,9 @@
 void EventLoop::post(Task task)
 {
     this->tasks.push(new Task(std::move(task)));
+    // The loop's own thread looks at the tasks before it waits again.
+    if (this->runner.load(std::memory_order_relaxed) == std::this_thread::get_id())
+        return;
     if (this->wakePending.exchange(true))
         return;
     static constexpr char anything = 'w';
@@ -167,16 +170,21 @@
 void EventLoop::run()
 {
     urcu_memb_register_thread();
+    this->runner = std::this_thread::get_id();
     Millis tick = SteadyClock::now();
+    Millis suspendedBefore = SteadyClock::suspendedTime();
     while (!this->stopping) {
         const Millis wait = this->waitTime(tick);
         const auto waitMicros
                 = static_cast<Poco::Timespan::TimeDiff>(std::ceil(wait.count()) * 1000);
         const auto ready = this->poll.poll(Poco::Timespan(waitMicros));
         const Millis now = SteadyClock::now();
-        // From one tick's beginning to the next: covers a pause while waiting or working.
-        const Millis gap = now - tick - wait;
+        const Millis suspended = SteadyClock::suspendedTime();
+        // From one tick's beginning to the next: covers a pause while waiting or working. The
+        // monotonic clock stands still while the machine is suspended.
+        const Millis gap = now - tick - wait + (suspended - suspendedBefore);
         tick = now;
+        suspendedBefore = suspended;
         if (gap > pauseThreshold)
             this->notePause(gap);
         this->dispatch(ready);
@@ -184,6 +192,7 @@
         this->runTimers(SteadyClock::now());
     }
     this->runTasks();
+    this->runner = std::thread::id();
     urcu_memb_unregister_thread();
 }
 
--- a/src/process/eventloop.h
+++ b/src/process/eventloop.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <thread>
 #include <unordered_map>
 #include <vector>
 
@@ -86,6 +87,7 @@
     boost::lockfree::queue<Task *> tasks;
     std::atomic<bool> wakePending = false;
     std::atomic<bool> stopping = false;
+    std::atomic<std::thread::id> runner;
     // Datagrams to itself interrupt the wait for sockets.
     Poco::Net::DatagramSocket wakeSocket;
     std::vector<std::function<void(Millis)>> pauseHandlers;
--- /dev/null
+++ b/src/process/gatewayprocess.cpp
@@ -0,0 +1,167 @@
+#include "process/gatewayprocess.h"
+
+#include "process/eventlog.h"
+#include "quetzal/fault.h"
+#include "quetzal/steadyclock.h"
+
+#include <unistd.h>
+
+namespace quetzal {
+
+static constexpr int statusOk = 200;
+static constexpr int statusUnavailable = 503;
+static constexpr std::size_t mostCallers = 2000;
+// Part of the grace for which connections are still accepted: the balancer needs it to notice.
+static constexpr double acceptingShare = 0.45;
+// Time left at the end of the grace for the process to go.
+static constexpr Millis endMargin = Millis(400);
+static constexpr Millis endCheckPeriod = Millis(50);
+
+static std::uint64_t startSeed(const std::string &name)
+{
+    return stableHash(stableHash(name),
+                      static_cast<std::uint64_t>(SteadyClock::now().count() * 1000));
+}
+
+GatewayOptions GatewayProcess::gatewayOptions() const
+{
+    GatewayOptions options;
+    options.host = this->settings.name;
+    options.zone = this->settings.zone;
+    options.zoneDistance = this->settings.zoneDistance;
+    options.retries.ratio = this->settings.retryRatio;
+    options.retries.slack = this->settings.retrySlack;
+    options.retries.window = this->settings.retryWindow;
+    options.seed = startSeed(this->settings.name);
+    return options;
+}
+
+GatewayProcess::GatewayProcess(const GatewaySettings &settings, HeaderNames names,
+                               const ViewFeedFactory &makeFeed)
+    : settings(settings)
+    , metrics("gateway")
+    , dialect(std::move(names))
+    , gateway(this->loop, this->metrics, this->dialect, this->view, this->gatewayOptions())
+{
+    this->view.onChange([this] { this->onViewChange(); });
+    this->feed = makeFeed(this->loop, this->settings.storeAddress, this->view);
+    this->callers = HttpServer::listen(
+            this->loop, Poco::Net::SocketAddress(this->settings.callersAddress),
+            this->callerOptions(), [this](const std::shared_ptr<HttpExchange> &exchange) {
+                this->gateway.onRequest(exchange);
+            });
+    HttpServerOptions readyOptions;
+    readyOptions.mostConnections = 64;
+    this->readiness = HttpServer::listen(
+            this->loop, Poco::Net::SocketAddress(this->settings.readyAddress), readyOptions,
+            [this](const std::shared_ptr<HttpExchange> &exchange) {
+                this->onReadyCheck(*exchange);
+            });
+    this->loop.onPause([this](Millis gap) {
+        logEvent(LogEvent::ProcessPaused, "gap_ms=" + std::to_string(gap.count()));
+        this->metrics.add(Counter::Pauses);
+        this->gateway.onPaused();
+    });
+}
+
+HttpServerOptions GatewayProcess::callerOptions() const
+{
+    HttpServerOptions options;
+    options.mostConnections = mostCallers;
+    if (!this->view.tables())
+        return options;
+    const CallerLimits &limits = this->view.tables()->limits;
+    options.limits.head = limits.headBytes;
+    options.limits.body = limits.bodyBytes;
+    options.requestTime = limits.headTime;
+    options.idleTime = limits.idleTime;
+    return options;
+}
+
+bool GatewayProcess::run()
+{
+    logEvent(LogEvent::Started, "host=" + this->settings.name + " zone=" + this->settings.zone
+                                        + " callers=" + this->settings.callersAddress);
+    this->feed->start();
+    this->loop.run();
+    logEvent(LogEvent::Stopped, std::string("cut_off=") + (this->cutOff ? "1" : "0"));
+    return !this->cutOff;
+}
+
+bool GatewayProcess::isReady() const
+{
+    return !this->stopping && this->view.tables() && this->view.directory().liveCount() > 0;
+}
+
+void GatewayProcess::noteReadiness()
+{
+    if (this->isReady() == this->wasReady)
+        return;
+    this->wasReady = !this->wasReady;
+    logEvent(this->wasReady ? LogEvent::Ready : LogEvent::NotReady,
+             "host=" + this->settings.name
+                     + (this->wasReady ? ""
+                                       : std::string(" reason=")
+                                                 + (this->stopping ? "stopping" : "no-view")));
+}
+
+void GatewayProcess::onReadyCheck(HttpExchange &exchange)
+{
+    const bool ready = this->isReady();
+    exchange.respond(ready ? statusOk : statusUnavailable, {}, ready ? "ready\n" : "not ready\n",
+                     "text/plain");
+}
+
+void GatewayProcess::onViewChange()
+{
+    this->callers->setOptions(this->callerOptions());
+    this->gateway.onView();
+    this->noteReadiness();
+}
+
+void GatewayProcess::shutdown()
+{
+    this->loop.post([this] { this->beginShutdown(); });
+}
+
+void GatewayProcess::beginShutdown()
+{
+    if (this->stopping)
+        return;
+    this->stopping = true;
+    const Millis now = SteadyClock::now();
+    this->endBy = now + this->settings.grace - endMargin;
+    logEvent(LogEvent::Stopping, "host=" + this->settings.name);
+    this->noteReadiness();
+    this->callers->announceClose();
+    this->loop.schedule(now + this->settings.grace * acceptingShare,
+                        [this] { this->stopAccepting(); });
+}
+
+void GatewayProcess::stopAccepting()
+{
+    this->callers->stopAccepting();
+    this->waitForEnd();
+}
+
+void GatewayProcess::waitForEnd()
+{
+    const bool idle = this->gateway.runningRequests() == 0 && this->callers->connectionCount() == 0;
+    const bool late = SteadyClock::now() >= this->endBy;
+    if (idle || late) {
+        this->cutOff = !idle && this->gateway.runningRequests() > 0;
+        this->loop.stop();
+        return;
+    }
+    this->loop.schedule(SteadyClock::now() + endCheckPeriod, [this] { this->waitForEnd(); });
+}
+
+void GatewayProcess::reload(const GatewaySettings &next)
+{
+    this->loop.post([this, next] {
+        this->settings.grace = next.grace;
+        this->settings.seeds = next.seeds;
+    });
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/src/process/gatewayprocess.h
@@ -0,0 +1,65 @@
+// The parts of one gateway process, wired together on one loop.
+#pragma once
+
+#include "connection/dialect.h"
+#include "connection/httpserver.h"
+#include "process/eventloop.h"
+#include "process/gatewaysettings.h"
+#include "process/metrics.h"
+#include "request/gateway.h"
+#include "version/servingview.h"
+#include "version/viewfeed.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace quetzal {
+
+// Makes the source of tables and registrations.
+using ViewFeedFactory
+        = std::function<std::unique_ptr<ViewFeed>(EventLoop &, const std::string &, ServingView &)>;
+
+// Serves callers until it is told to stop.
+class GatewayProcess
+{
+public:
+    // Throws Poco::Net::NetException if an address cannot be bound.
+    GatewayProcess(const GatewaySettings &settings, HeaderNames names, const ViewFeedFactory &feed);
+
+    // Runs until a shutdown is over. Returns false if a request was cut off.
+    bool run();
+
+    // Begins a graceful shutdown. May be called from any thread, and more than once.
+    void shutdown();
+
+    // Takes new settings where they can change in a running process. May be called from any thread.
+    void reload(const GatewaySettings &next);
+
+private:
+    bool isReady() const;
+    void noteReadiness();
+    void onReadyCheck(HttpExchange &exchange);
+    void onViewChange();
+    void beginShutdown();
+    void stopAccepting();
+    void waitForEnd();
+    HttpServerOptions callerOptions() const;
+    GatewayOptions gatewayOptions() const;
+
+    GatewaySettings settings;
+    EventLoop loop;
+    Metrics metrics;
+    Dialect dialect;
+    ServingView view;
+    Gateway gateway;
+    std::unique_ptr<ViewFeed> feed;
+    std::shared_ptr<HttpServer> callers;
+    std::shared_ptr<HttpServer> readiness;
+    bool wasReady = false;
+    bool stopping = false;
+    bool cutOff = false;
+    Millis endBy;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/src/process/gatewaysettings.cpp
@@ -0,0 +1,91 @@
+#include "process/gatewaysettings.h"
+
+#include <Poco/Net/SocketAddress.h>
+
+namespace quetzal {
+
+static constexpr double longestMs = 600'000;
+static constexpr double mostExtras = 1e6;
+
+static bool isAddress(const std::string &text)
+{
+    try {
+        const Poco::Net::SocketAddress address(text);
+        return address.port() != 0;
+    } catch (const Poco::Exception &) {
+        return false;
+    }
+}
+
+static std::string readAddress(YamlReader &reader, const YAML::Node &map, const char *field,
+                               const std::string &where)
+{
+    std::string text = reader.text(map, field, where, true);
+    if (!text.empty() && !isAddress(text))
+        reader.fail(map[field],
+                    where + ": " + field + " \"" + text + "\" must be an IP number and a port");
+    return text;
+}
+
+static YAML::Node section(YamlReader &reader, const YAML::Node &root, const char *name,
+                          bool required)
+{
+    const YAML::Node node = root[name];
+    if (node.IsDefined() && node.IsMap())
+        return node;
+    if (required || node.IsDefined())
+        reader.fail(root, std::string("settings: a map \"") + name + "\" is expected");
+    return YAML::Node(YAML::NodeType::Map);
+}
+
+Parsed<GatewaySettings> parseGatewaySettings(const std::string &file, const std::string &text)
+{
+    YamlReader reader(file);
+    Parsed<GatewaySettings> result;
+    GatewaySettings &settings = result.value;
+    const YAML::Node root = reader.load(text);
+    if (!root.IsDefined() || !root.IsMap()) {
+        if (root.IsDefined())
+            reader.fail(root, "settings: a map is expected");
+        result.errors = reader.errors();
+        return result;
+    }
+    reader.allowOnly(root, "settings", { "host", "listen", "store", "seeds", "retries", "limits" });
+    const YAML::Node host = section(reader, root, "host", true);
+    reader.allowOnly(host, "host", { "name", "zone", "zone_distance_ms" });
+    settings.name = reader.text(host, "name", "host", true);
+    settings.zone = reader.text(host, "zone", "host", true);
+    settings.zoneDistance = Millis(reader.number(host, "zone_distance_ms", "host", 0, longestMs,
+                                                 false, settings.zoneDistance.count()));
+    const YAML::Node listen = section(reader, root, "listen", true);
+    reader.allowOnly(listen, "listen", { "callers", "ready", "view", "heartbeat" });
+    settings.callersAddress = readAddress(reader, listen, "callers", "listen");
+    settings.readyAddress = readAddress(reader, listen, "ready", "listen");
+    settings.viewAddress = readAddress(reader, listen, "view", "listen");
+    settings.heartbeatAddress = readAddress(reader, listen, "heartbeat", "listen");
+    const YAML::Node store = section(reader, root, "store", true);
+    reader.allowOnly(store, "store", { "address" });
+    settings.storeAddress = readAddress(reader, store, "address", "store");
+    settings.seeds = reader.texts(root, "seeds", "settings");
+    for (const std::string &seed : settings.seeds) {
+        if (!isAddress(seed))
+            reader.fail(root["seeds"],
+                        "settings: seeds \"" + seed + "\" must be an IP number and a port");
+    }
+    const YAML::Node retries = section(reader, root, "retries", false);
+    reader.allowOnly(retries, "retries", { "ratio", "slack", "window_ms" });
+    settings.retryRatio
+            = reader.number(retries, "ratio", "retries", 0, 1, false, settings.retryRatio);
+    settings.retrySlack
+            = reader.number(retries, "slack", "retries", 0, mostExtras, false, settings.retrySlack);
+    settings.retryWindow = Millis(reader.number(retries, "window_ms", "retries", 1, longestMs,
+                                                false, settings.retryWindow.count()));
+    const YAML::Node limits = section(reader, root, "limits", false);
+    reader.allowOnly(limits, "limits", { "grace_ms" });
+    settings.grace = Millis(reader.number(limits, "grace_ms", "limits", 0, longestMs, false,
+                                          settings.grace.count()));
+    result.errors = reader.errors();
+    return result;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/src/process/gatewaysettings.h
@@ -0,0 +1,40 @@
+// The settings of quetzal-gateway, read from YAML.
+#pragma once
+
+#include "quetzal/millis.h"
+#include "version/yamlreader.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace quetzal {
+
+// Everything that one gateway process is told. Addresses are IP numbers and ports.
+struct GatewaySettings
+{
+    std::string name;
+    std::string zone;
+    std::string callersAddress;
+    std::string readyAddress;
+    // Other hosts read this one's view there.
+    std::string viewAddress;
+    // Heartbeats of other hosts arrive there. All hosts use the same port.
+    std::string heartbeatAddress;
+    std::string storeAddress;
+    // View addresses of other hosts; some may be gone.
+    std::vector<std::string> seeds;
+    // Extra attempts on a pool that all hosts together may make in a window.
+    double retryRatio = 0.2;
+    double retrySlack = 50;
+    Millis retryWindow = Millis(10'000);
+    // Time from the order to stop until the process must have ended.
+    Millis grace = Millis(6000);
+    // Cost of the way to another zone and back.
+    Millis zoneDistance = Millis(8);
+};
+
+// Parses and checks settings. Errors name file, line and field.
+Parsed<GatewaySettings> parseGatewaySettings(const std::string &file, const std::string &text);
+
+} // namespace quetzal
--- /dev/null
+++ b/src/request/scatter.cpp
@@ -0,0 +1,280 @@
+#include "request/scatter.h"
+
+#include "quetzal/fault.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quetzal {
+
+// With less time left a further attempt could not be answered.
+static constexpr Millis leastUsefulBudget = Millis(3);
+// Quantile of the route's latencies after which an attempt is hedged.
+static constexpr double hedgeQuantile = 0.9;
+static constexpr Millis shortestHedgeDelay = Millis(8);
+// Share of the budget that hedges leave to retries.
+static constexpr double hedgeReserve = 0.25;
+static constexpr Millis retryPause = Millis(15);
+// Attempts on searchers that refused before, beyond the first one on each.
+static constexpr std::uint32_t mostRepeats = 2;
+
+Scatter::Scatter(const ScatterPlan &plan, std::vector<std::shared_ptr<ShardPool>> pools,
+                 const RoutePace &pace)
+    : plan(plan)
+    , pools(std::move(pools))
+    , pace(pace)
+    , shards(this->pools.size())
+{
+    this->attempts.reserve(this->pools.size() + this->pools.size() / 4);
+}
+
+Millis Scatter::hedgeDelay() const
+{
+    return std::max(shortestHedgeDelay, this->pace.quantile(hedgeQuantile));
+}
+
+std::size_t Scatter::needed() const
+{
+    if (!this->plan.merged)
+        return this->shards.size();
+    static constexpr double rounding = 1e-9;
+    const double exact = this->plan.minCoverage * static_cast<double>(this->shards.size());
+    return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(exact - rounding)));
+}
+
+void Scatter::start(Millis now, ScatterActions &out)
+{
+    for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
+        ShardPool &pool = *this->pools[shard];
+        pool.budget().onRequest(now);
+        const auto searcher = pool.choose({}, this->pace.typical(), now, true);
+        if (!searcher || !this->launch(shard, searcher, false, now, out)) {
+            this->lastFailure = Fault::PoolEmpty;
+            this->giveUp(shard);
+        }
+    }
+    this->finishIfDue(now, out);
+}
+
+bool Scatter::launch(std::uint32_t shard, std::shared_ptr<TrackedSearcher> searcher, bool extra,
+                     Millis now, ScatterActions &out)
+{
+    if (this->plan.deadline - now < leastUsefulBudget)
+        return false;
+    ShardState &state = this->shards[shard];
+    const auto ordinal = static_cast<std::uint32_t>(this->attempts.size());
+    this->attempts.push_back({ shard, true, now });
+    if (std::find(state.tried.begin(), state.tried.end(), searcher.get()) == state.tried.end())
+        state.tried.push_back(searcher.get());
+    state.open += 1;
+    state.sent += 1;
+    const bool canHedge = this->plan.repeatable && state.tried.size() < this->plan.maxAttempts;
+    state.due = canHedge ? now + this->hedgeDelay() : Millis::never();
+    out.send.push_back({ ordinal, std::move(searcher), this->pace.typical(), extra });
+    return true;
+}
+
+void Scatter::onEnd(Millis now, std::uint32_t ordinal, const Outcome &outcome,
+                    SearcherReply &&reply, ScatterActions &out)
+{
+    if (this->done || ordinal >= this->attempts.size() || !this->attempts[ordinal].open)
+        return;
+    AttemptState &attempt = this->attempts[ordinal];
+    attempt.open = false;
+    ShardState &state = this->shards[attempt.shard];
+    state.open -= 1;
+    if (outcome.verdict != Verdict::NotRun)
+        this->mayHaveRun = true;
+    if (outcome.succeeded() && state.phase == Phase::Pending) {
+        state.phase = Phase::Answered;
+        state.reply = std::move(reply);
+        state.due = Millis::never();
+        this->answered += 1;
+        for (std::uint32_t other = 0; other < this->attempts.size(); ++other) {
+            if (this->attempts[other].shard != attempt.shard || !this->attempts[other].open)
+                continue;
+            this->attempts[other].open = false;
+            out.abandon.push_back(other);
+        }
+        state.open = 0;
+    } else if (!outcome.succeeded()) {
+        this->onFailure(attempt.shard, outcome, std::move(reply), now, out);
+    }
+    this->finishIfDue(now, out);
+}
+
+void Scatter::onFailure(std::uint32_t shard, const Outcome &outcome, SearcherReply &&reply,
+                        Millis now, ScatterActions &out)
+{
+    ShardState &state = this->shards[shard];
+    this->lastFailure = outcome.code;
+    if (state.phase != Phase::Pending)
+        return;
+    // A searcher's own failure is passed on if nothing better comes.
+    if (!this->plan.merged && outcome.verdict == Verdict::Ran && reply.status != 0)
+        state.reply = std::move(reply);
+    if (state.open > 0)
+        return;
+    const bool allowed = outcome.verdict == Verdict::NotRun || this->plan.repeatable;
+    if (!allowed) {
+        this->giveUp(shard);
+        return;
+    }
+    if (this->hasUntried(state))
+        this->retry(shard, now, out);
+    else if (state.sent < this->plan.maxAttempts + mostRepeats
+             && (outcome.verdict == Verdict::NotRun || this->plan.repeatable))
+        state.due = now + retryPause * state.sent;
+    else
+        this->giveUp(shard);
+}
+
+bool Scatter::hasUntried(const ShardState &state) const
+{
+    if (state.tried.size() >= this->plan.maxAttempts)
+        return false;
+    const std::size_t shard = static_cast<std::size_t>(&state - this->shards.data());
+    return this->pools[shard]->searchers().size() > state.tried.size();
+}
+
+void Scatter::retry(std::uint32_t shard, Millis now, ScatterActions &out)
+{
+    ShardState &state = this->shards[shard];
+    ShardPool &pool = *this->pools[shard];
+    state.due = Millis::never();
+    std::shared_ptr<TrackedSearcher> searcher;
+    if (state.tried.size() < this->plan.maxAttempts)
+        searcher = pool.choose(state.tried, this->pace.typical(), now, true);
+    if (!searcher) {
+        // Again to one of those that refused.
+        std::vector<const TrackedSearcher *> others;
+        for (const auto &member : pool.searchers()) {
+            const bool tried = std::find(state.tried.begin(), state.tried.end(), member.get())
+                               != state.tried.end();
+            if (!tried)
+                others.push_back(member.get());
+        }
+        searcher = pool.choose(others, this->pace.typical(), now, true);
+    }
+    const bool sent = searcher && this->plan.deadline - now >= leastUsefulBudget
+                      && pool.budget().trySpend(now)
+                      && this->launch(shard, searcher, true, now, out);
+    if (sent)
+        this->retries += 1;
+    else
+        this->giveUp(shard);
+}
+
+void Scatter::hedge(std::uint32_t shard, Millis now, ScatterActions &out)
+{
+    ShardState &state = this->shards[shard];
+    ShardPool &pool = *this->pools[shard];
+    state.due = Millis::never();
+    const auto searcher = pool.choose(state.tried, this->pace.typical(), now, false);
+    if (!searcher)
+        return;
+    if (searcher->isStalled(now)) {
+        // It may go on before the one that is waited for.
+        state.due = now + retryPause;
+        return;
+    }
+    if (!pool.budget().trySpend(now, hedgeReserve))
+        return;
+    if (this->launch(shard, searcher, true, now, out))
+        this->hedges += 1;
+}
+
+void Scatter::giveUp(std::uint32_t shard)
+{
+    ShardState &state = this->shards[shard];
+    state.phase = Phase::Missing;
+    state.due = Millis::never();
+    this->missing += 1;
+}
+
+void Scatter::onTimer(Millis now, ScatterActions &out)
+{
+    if (this->done)
+        return;
+    for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
+        ShardState &state = this->shards[shard];
+        if (state.phase != Phase::Pending || now < state.due)
+            continue;
+        if (state.open == 0)
+            this->retry(shard, now, out);
+        else
+            this->hedge(shard, now, out);
+    }
+    this->finishIfDue(now, out);
+}
+
+void Scatter::onCallerGone(ScatterActions &out)
+{
+    if (this->done)
+        return;
+    this->done = true;
+    for (std::uint32_t ordinal = 0; ordinal < this->attempts.size(); ++ordinal) {
+        if (this->attempts[ordinal].open)
+            out.abandon.push_back(ordinal);
+    }
+}
+
+void Scatter::finishIfDue(Millis now, ScatterActions &out)
+{
+    if (this->done)
+        return;
+    const std::size_t total = this->shards.size();
+    const std::size_t enough = this->needed();
+    const bool complete = this->answered == total;
+    const bool settled = this->answered + this->missing == total && this->answered >= enough;
+    const bool early = now >= this->plan.target && this->answered >= enough;
+    if (complete || settled || (this->plan.merged && early)) {
+        this->finish({ Verdict::Ran, {}, Hop::Searcher }, out);
+        return;
+    }
+    if (total - this->missing < enough || total == 0) {
+        const bool anyOpen = std::any_of(this->attempts.begin(), this->attempts.end(),
+                                         [](const AttemptState &item) { return item.open; });
+        const bool ran = this->mayHaveRun || anyOpen;
+        this->finish({ ran ? Verdict::MayHaveRun : Verdict::NotRun, this->lastFailure, Hop::Entry },
+                     out);
+        return;
+    }
+    if (now >= this->plan.deadline) {
+        this->finish({ Verdict::MayHaveRun, Fault::DeadlinePassed, Hop::Entry }, out);
+        return;
+    }
+    this->armTimer(now);
+}
+
+void Scatter::finish(const Outcome &outcome, ScatterActions &out)
+{
+    this->done = true;
+    this->timer = Millis::never();
+    ScatterAnswer answer;
+    answer.outcome = outcome;
+    answer.sent = static_cast<std::uint32_t>(this->attempts.size());
+    answer.hedges = this->hedges;
+    answer.retries = this->retries;
+    for (ShardState &state : this->shards)
+        answer.replies.push_back(std::move(state.reply));
+    answer.missing = this->shards.size() - this->answered;
+    for (std::uint32_t ordinal = 0; ordinal < this->attempts.size(); ++ordinal) {
+        if (this->attempts[ordinal].open)
+            out.abandon.push_back(ordinal);
+    }
+    out.answer = std::move(answer);
+}
+
+void Scatter::armTimer(Millis now)
+{
+    this->timer = this->plan.deadline;
+    if (this->plan.merged && now < this->plan.target)
+        this->timer = std::min(this->timer, this->plan.target);
+    for (const ShardState &state : this->shards) {
+        if (state.phase == Phase::Pending)
+            this->timer = std::min(this->timer, state.due);
+    }
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/src/request/trackedsearcher.h
@@ -0,0 +1,85 @@
+// What this host has seen of one registered searcher, and what it expects of it.
+#pragma once
+
+#include "connection/dialect.h"
+#include "quetzal/millis.h"
+#include "quetzal/verdict.h"
+#include "request/attempt.h"
+#include "version/searcherdirectory.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace quetzal {
+
+// Whether new work may go to a searcher.
+enum class Availability { Usable, LastResort, Closed };
+
+// One life of a searcher. Used on one loop.
+class TrackedSearcher
+{
+public:
+    // near: the searcher is in this host's zone. distance: cost of the way to it and back.
+    TrackedSearcher(const DirectoryEntry &entry, Millis distance, Millis now);
+
+    // Takes a later word of the registry about the same life. Work may go there until lastUse if
+    // no other searcher is left, or without limit while it is ready.
+    void update(const DirectoryEntry &entry, Millis lastUse);
+
+    Availability availability(Millis now) const;
+
+    // Records an attempt that was sent, and the latency typical of its route.
+    void onSent(const AttemptId &attempt, Millis typical, Millis now);
+
+    // Records the end of an attempt.
+    void onEnd(const AttemptId &attempt, const Outcome &outcome, Millis now);
+
+    // Takes the searcher's word about its load.
+    void onLoad(const LoadReport &report, Millis now);
+
+    // Returns the latency that an attempt sent now would have, on a route of a typical latency.
+    Millis expectedLatency(Millis typical, Millis now) const;
+
+    // True while some attempt is open for much longer than usual.
+    bool isStalled(Millis now) const;
+
+    // True while failures keep work away, or one attempt is on its way to find out.
+    bool isBackedOff(Millis now) const;
+
+    std::size_t openAttempts() const { return this->open.size(); }
+    const DirectoryEntry &registration() const { return this->entry; }
+    double slownessNow(Millis now) const;
+
+    void setConnectionLimit(std::uint32_t limit) { this->connectionLimit = limit; }
+    std::uint32_t connections() const { return this->connectionLimit; }
+
+private:
+    struct OpenAttempt
+    {
+        AttemptId id;
+        Millis sentAt;
+        Millis typical;
+    };
+
+    void recordFailure(Millis now);
+    void recordLatency(const OpenAttempt &attempt, Millis latency, bool isFloor, Millis now);
+
+    DirectoryEntry entry;
+    Millis distance;
+    Millis lastUse = Millis::never();
+    Millis warmUntil;
+    std::uint32_t connectionLimit = 1;
+    std::vector<OpenAttempt> open;
+    // Latency relative to what is typical of the route; one is usual.
+    double slowness = 1;
+    Millis slownessAt;
+    // Share of recent attempts that the searcher refused, decayed.
+    double refusals = 0;
+    Millis refusalsAt;
+    int failures = 0;
+    Millis backOffUntil;
+    LoadReport load;
+    Millis loadAt = Millis(-1e9);
+};
+
+} // namespace quetzal
--- a/src/version/tables.h
+++ b/src/version/tables.h
@@ -28,6 +28,43 @@
 
 inline constexpr std::array<std::string_view, 3> priorityNames = { "low", "normal", "high" };
 
+// A pool and its part of a route's requests.
+struct PoolShare
+{
+    std::string pool;
+    // Any positive number; the shares of a route are taken relative to their sum.
+    double weight = 1;
+
+    friend bool operator==(const PoolShare &, const PoolShare &) = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->pool, this->weight);
+    }
+};
+
+// Bounds on what callers may send and how long they may take, from the operators.
+struct CallerLimits
+{
+    std::uint32_t headBytes = 16'384;
+    std::uint32_t bodyBytes = 1'048'576;
+    Millis headTime = Millis(5000);
+    Millis idleTime = Millis(60'000);
+
+    friend bool operator==(const CallerLimits &, const CallerLimits &) = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        double headMs = this->headTime.count();
+        double idleMs = this->idleTime.count();
+        archive(this->headBytes, this->bodyBytes, headMs, idleMs);
+        this->headTime = Millis(headMs);
+        this->idleTime = Millis(idleMs);
+    }
+};
+
 // Where a kind of request goes.
 struct Route
 {
@@ -48,6 +85,17 @@
     double minCoverage = 1;
     BelowMinimum below = BelowMinimum::Partial;
     Priority priority = Priority::Normal;
+    // Pools that each hold one shard. If any are named, an all-shards request goes to one searcher
+    // of each of them, and pool is empty.
+    std::vector<std::string> shardPools;
+    // Pools that share the requests of a one-searcher route. If any are named, pool is empty.
+    std::vector<PoolShare> split;
+    // Searchers that one request may be sent to, for each shard.
+    std::uint32_t maxAttempts = 4;
+    // Records in a merged answer.
+    std::uint32_t resultSize = 10;
+    // Urgency among the routes that share pools; 0 is the most urgent.
+    std::uint32_t rank = 0;
 
     friend bool operator==(const Route &, const Route &) = default;
 
@@ -59,6 +107,7 @@
         double targetMs = this->target.count();
         double deadlineMs = this->deadline.count();
         archive(targetMs, deadlineMs, this->minCoverage, this->below, this->priority);
+        archive(this->shardPools, this->split, this->maxAttempts, this->resultSize, this->rank);
         this->target = Millis(targetMs);
         this->deadline = Millis(deadlineMs);
     }
@@ -99,9 +148,18 @@
 {
     std::string name;
     std::uint32_t shards = 1;
+    // Empty if the searchers register themselves in a directory.
     std::vector<Searcher> searchers;
+    // Connections that each registered searcher accepts of all hosts together.
+    std::uint32_t connectionCap = 1;
 
     friend bool operator==(const Pool &, const Pool &) = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->name, this->shards, this->searchers, this->connectionCap);
+    }
 };
 
 // Both tables at one revision. Immutable once published.
@@ -110,6 +168,13 @@
     Revision revision;
     std::vector<Route> routes;
     std::vector<Pool> pools;
+    CallerLimits limits;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->revision, this->routes, this->pools, this->limits);
+    }
 
     // Returns the route with the longest matching path prefix, or nullptr.
     const Route *match(std::string_view method, std::string_view path, std::string_view host) const;
