Hosts hear of each other and take views from each other; 421 closes a searcher

Change: membership's heartbeats carry the revision of the view; a host that is behind asks the one that is ahead. A 421 closes the searcher until the registry says more of it. A host whose clock went back passes its earlier life. Seen and open: processes end only by the kill at the end of the grace.

--- a/apps/quetzal_gateway.cpp
+++ b/apps/quetzal_gateway.cpp
@@ -12,6 +12,8 @@
 #include <sstream>
 #include <thread>
 
+#include <unistd.h>
+
 #include <Poco/Exception.h>
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -70,7 +72,7 @@
     ~SignalWaiter()
     {
         // Ends the wait.
-        pthread_kill(this->thread.native_handle(), SIGUSR1);
+        kill(getpid(), SIGUSR1);
         this->thread.join();
     }
 
--- a/src/connection/dialect.cpp
+++ b/src/connection/dialect.cpp
@@ -141,7 +141,8 @@
 {
     SearcherReply reply;
     reply.status = response.head.getStatus();
-    reply.notRun = reply.status == misdirected;
+    reply.misdirected = reply.status == misdirected;
+    reply.notRun = reply.misdirected;
     reply.body = std::move(response.body);
     const std::string connection = response.head.get("Connection", "");
     for (const auto &[name, value] : response.head) {
--- a/src/connection/dialect.h
+++ b/src/connection/dialect.h
@@ -74,6 +74,8 @@
     ReplyOwner owner = ReplyOwner::Unsaid;
     // The searcher says that it did not run the request.
     bool notRun = false;
+    // Another searcher has the address of the one that was meant.
+    bool misdirected = false;
     std::string seal;
     std::optional<LoadReport> load;
     // Fields that go on to the caller.
--- a/src/connection/searcherlink.cpp
+++ b/src/connection/searcherlink.cpp
@@ -206,6 +206,8 @@
 {
     static constexpr int statusOk = 200;
     static constexpr int statusMultipleChoices = 300;
+    if (reply.misdirected)
+        return { Verdict::NotRun, Fault::WrongIncarnation, Hop::Searcher };
     if (reply.notRun)
         return { Verdict::NotRun, Fault::Shed, Hop::Searcher };
     if (reply.seal.empty())
--- a/src/process/eventlog.h
+++ b/src/process/eventlog.h
@@ -46,6 +46,7 @@
     PeersChanged,
     PeerViewTaken,
     StoreListed,
+    AttemptExtra,
 };
 
 // How much an event matters.
@@ -60,7 +61,7 @@
 };
 
 // In the order of the enumerators.
-inline constexpr std::array<LogEventInfo, 36> logEvents = { {
+inline constexpr std::array<LogEventInfo, 37> logEvents = { {
         { 1001, "started", LogLevel::Info },
         { 1002, "ready", LogLevel::Info },
         { 1003, "not-ready", LogLevel::Warning },
@@ -97,6 +98,7 @@
         { 1207, "peers-changed", LogLevel::Info },
         { 1208, "peer-view-taken", LogLevel::Info },
         { 1106, "store-listed", LogLevel::Info },
+        { 2305, "attempt-extra", LogLevel::Info },
 } };
 
 // Sets where log lines go: a file, or standard error if the path is empty.
--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -45,6 +45,12 @@
 {
     this->view.onChange([this] { this->onViewChange(); });
     this->feed = makeFeed(this->loop, this->settings.storeAddress, this->view);
+    ViewExchangeHooks hooks;
+    hooks.storeAnswers = [this] { return this->feed->isHealthy(); };
+    hooks.feedIsBehind = [this] { this->feed->refresh(); };
+    hooks.hostsChanged = [this](std::uint32_t count) { this->gateway.setHosts(count); };
+    this->exchange = std::make_unique<ViewExchange>(this->loop, this->settings, this->view,
+                                                    std::move(hooks));
     this->callers = HttpServer::listen(
             this->loop, Poco::Net::SocketAddress(this->settings.callersAddress),
             this->callerOptions(), [this](const std::shared_ptr<HttpExchange> &exchange) {
@@ -82,6 +88,7 @@
 {
     logEvent(LogEvent::Started, "host=" + this->settings.name + " zone=" + this->settings.zone
                                         + " callers=" + this->settings.callersAddress);
+    this->exchange->start();
     this->feed->start();
     this->loop.run();
     logEvent(LogEvent::Stopped, std::string("cut_off=") + (this->cutOff ? "1" : "0"));
@@ -133,6 +140,7 @@
     this->endBy = now + this->settings.grace - endMargin;
     logEvent(LogEvent::Stopping, "host=" + this->settings.name);
     this->noteReadiness();
+    this->exchange->leave();
     this->callers->announceClose();
     this->loop.schedule(now + this->settings.grace * acceptingShare,
                         [this] { this->stopAccepting(); });
@@ -160,7 +168,7 @@
 {
     this->loop.post([this, next] {
         this->settings.grace = next.grace;
-        this->settings.seeds = next.seeds;
+        this->exchange->addSeeds(next.seeds);
     });
 }
 
--- a/src/process/gatewayprocess.h
+++ b/src/process/gatewayprocess.h
@@ -6,6 +6,7 @@
 #include "process/eventloop.h"
 #include "process/gatewaysettings.h"
 #include "process/metrics.h"
+#include "process/viewexchange.h"
 #include "request/gateway.h"
 #include "version/servingview.h"
 #include "version/viewfeed.h"
@@ -54,6 +55,7 @@
     ServingView view;
     Gateway gateway;
     std::unique_ptr<ViewFeed> feed;
+    std::unique_ptr<ViewExchange> exchange;
     std::shared_ptr<HttpServer> callers;
     std::shared_ptr<HttpServer> readiness;
     bool wasReady = false;
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -85,6 +85,11 @@
 
 void Membership::applyAboutSelf(const MemberNews &news)
 {
+    // An earlier life began by a clock that was ahead of this one's.
+    if (news.incarnation > this->self.incarnation) {
+        this->self.incarnation = { news.incarnation.value + 1 };
+        return;
+    }
     const bool contradicts = news.incarnation == this->self.incarnation
                              && news.state > this->self.state
                              && news.refutation >= this->self.refutation;
--- /dev/null
+++ b/src/process/viewexchange.cpp
@@ -0,0 +1,307 @@
+#include "process/viewexchange.h"
+
+#include "process/eventlog.h"
+#include "quetzal/steadyclock.h"
+#include "version/codec.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+
+#include <Poco/Net/NetException.h>
+#include <Poco/URI.h>
+
+namespace quetzal {
+
+static constexpr int statusOk = 200;
+static constexpr int statusBadRequest = 400;
+static constexpr std::size_t mostDatagramBytes = 65'536;
+static constexpr Millis tickPeriod = Millis(200);
+// Time for which a host that the store answers may be behind another one before it asks.
+static constexpr Millis patienceWithFeed = Millis(900);
+static constexpr Millis askPatience = Millis(600);
+// Time for which hosts that are no longer heard of still count: their share of a budget was spent.
+static constexpr Millis hostsMemory = Millis(20'000);
+// Without secrets in the settings the signature is a checksum only.
+static constexpr const char *unkeyedSecret = "quetzalchute-unkeyed";
+
+// Hands datagrams to the exchange.
+class ViewExchange::Socket final : public EventHandler
+{
+public:
+    Socket(ViewExchange &owner, const std::string &address)
+        : owner(owner)
+    {
+        this->socket.bind(Poco::Net::SocketAddress(address));
+        this->socket.setBlocking(false);
+    }
+
+    void onReadable() override
+    {
+        std::array<char, mostDatagramBytes> buffer;
+        try {
+            Poco::Net::SocketAddress from;
+            const int count = this->socket.receiveFrom(buffer.data(),
+                                                       static_cast<int>(buffer.size()), from);
+            if (count > 0)
+                this->owner.onDatagram({ buffer.data(), static_cast<std::size_t>(count) });
+        } catch (const Poco::Exception &) {
+            // A host that is gone refused an earlier datagram.
+            return;
+        }
+    }
+    void onWritable() override {}
+    void onSocketError() override {}
+
+    void send(const std::string &bytes, const std::string &address)
+    {
+        try {
+            this->socket.sendTo(bytes.data(), static_cast<int>(bytes.size()),
+                                Poco::Net::SocketAddress(address));
+        } catch (const Poco::Exception &) {
+            // Heartbeats are repeated.
+            return;
+        }
+    }
+
+    Poco::Net::DatagramSocket socket;
+
+private:
+    ViewExchange &owner;
+};
+
+static MemberInfo ownInfo(const GatewaySettings &settings)
+{
+    MemberInfo info;
+    info.id = { stableHash(settings.heartbeatAddress) };
+    info.name = settings.name;
+    info.zone = settings.zone;
+    info.address = settings.heartbeatAddress;
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    info.incarnation = { static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()) };
+    return info;
+}
+
+ViewExchange::ViewExchange(EventLoop &loop, const GatewaySettings &settings, ServingView &view,
+                           ViewExchangeHooks hooks)
+    : loop(loop)
+    , settings(settings)
+    , view(view)
+    , hooks(std::move(hooks))
+    , keys({ { 0, unkeyedSecret } })
+    , membership(ownInfo(settings), MembershipTimes(),
+                 stableHash(stableHash(settings.heartbeatAddress),
+                            static_cast<std::uint64_t>(SteadyClock::now().count())))
+    , socket(std::make_shared<Socket>(*this, settings.heartbeatAddress))
+{
+    this->loop.add(this->socket->socket, this->socket, false);
+    HttpServerOptions options;
+    options.mostConnections = 64;
+    this->server = HttpServer::listen(
+            this->loop, Poco::Net::SocketAddress(settings.viewAddress), options,
+            [this](const std::shared_ptr<HttpExchange> &exchange) { this->answer(*exchange); });
+}
+
+ViewExchange::~ViewExchange()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+    this->loop.remove(this->socket->socket);
+}
+
+std::string ViewExchange::viewAddressOf(const std::string &heartbeatAddress) const
+{
+    const std::string host = heartbeatAddress.substr(0, heartbeatAddress.rfind(':'));
+    return host + this->settings.viewAddress.substr(this->settings.viewAddress.rfind(':'));
+}
+
+std::string ViewExchange::heartbeatAddressOf(const std::string &viewAddress) const
+{
+    const std::string host = viewAddress.substr(0, viewAddress.rfind(':'));
+    return host
+           + this->settings.heartbeatAddress.substr(this->settings.heartbeatAddress.rfind(':'));
+}
+
+void ViewExchange::addSeeds(const std::vector<std::string> &seeds)
+{
+    std::vector<MemberInfo> infos;
+    for (const std::string &seed : seeds) {
+        MemberInfo info;
+        info.address = this->heartbeatAddressOf(seed);
+        info.name = info.address;
+        info.id = { stableHash(info.address) };
+        infos.push_back(std::move(info));
+    }
+    const Millis now = SteadyClock::now();
+    this->membership.addSeeds(infos, now);
+    std::vector<OutgoingHeartbeat> out;
+    for (const MemberInfo &info : infos)
+        this->membership.pingNow(info.id, now, out);
+    this->send(out);
+}
+
+void ViewExchange::start()
+{
+    this->addSeeds(this->settings.seeds);
+    this->tick();
+}
+
+void ViewExchange::leave()
+{
+    std::vector<OutgoingHeartbeat> out;
+    this->membership.leave(out);
+    this->send(out);
+}
+
+void ViewExchange::send(std::vector<OutgoingHeartbeat> &out)
+{
+    for (const OutgoingHeartbeat &outgoing : out) {
+        const MemberInfo *member = this->membership.find(outgoing.to);
+        if (member != nullptr)
+            this->socket->send(this->keys.seal(FrameKind::Heartbeat, encode(outgoing.heartbeat)),
+                               member->address);
+    }
+}
+
+void ViewExchange::onDatagram(std::string_view bytes)
+{
+    const auto opened = this->keys.open(bytes);
+    if (!opened || opened->kind != FrameKind::Heartbeat)
+        return;
+    const auto heartbeat = decode<Heartbeat>(opened->body);
+    if (!heartbeat)
+        return;
+    const Millis now = SteadyClock::now();
+    this->membership.setRevision({ this->view.revision() });
+    std::vector<OutgoingHeartbeat> out;
+    this->membership.onHeartbeat(*heartbeat, now, out);
+    this->send(out);
+    this->catchUp(now);
+}
+
+void ViewExchange::tick()
+{
+    const Millis now = SteadyClock::now();
+    this->membership.setRevision({ this->view.revision() });
+    std::vector<OutgoingHeartbeat> out;
+    this->membership.onTimer(now, out);
+    this->send(out);
+    this->countHosts(now);
+    this->catchUp(now);
+    this->timer = this->loop.schedule(now + tickPeriod, [this] { this->tick(); });
+}
+
+void ViewExchange::countHosts(Millis now)
+{
+    const auto count = static_cast<std::uint32_t>(this->membership.eligible(now).size());
+    if (count != this->hosts) {
+        this->hosts = count;
+        std::string names;
+        for (const MemberInfo &member : this->membership.others())
+            names += (names.empty() ? "" : ",") + member.name + "="
+                     + std::string(memberStateNames[static_cast<std::size_t>(member.state)]);
+        logEvent(LogEvent::PeersChanged, "alive=" + std::to_string(count) + " hosts=" + names);
+    }
+    // Alone, a host cannot tell a small fleet from a cut: it keeps what it assumed.
+    if (count < 2)
+        return;
+    if (count >= this->mostHosts) {
+        this->mostHostsAt = now;
+        if (count == this->mostHosts)
+            return;
+    } else if (now - this->mostHostsAt < hostsMemory) {
+        return;
+    }
+    this->mostHosts = count;
+    this->mostHostsAt = now;
+    this->hooks.hostsChanged(count);
+}
+
+void ViewExchange::catchUp(Millis now)
+{
+    const auto [revision, host] = this->membership.highestRevision();
+    if (revision.value <= this->view.revision()) {
+        this->behindSince = Millis::never();
+        return;
+    }
+    const bool fresh = this->behindSince == Millis::never()
+                       || this->view.revision() >= this->revisionWhenBehind;
+    if (fresh) {
+        this->behindSince = now;
+        this->revisionWhenBehind = revision.value;
+    }
+    const bool storeAnswers = this->hooks.storeAnswers();
+    if (storeAnswers && now - this->behindSince < patienceWithFeed)
+        return;
+    if (this->asking)
+        return;
+    if (storeAnswers)
+        this->hooks.feedIsBehind();
+    this->ask(host);
+}
+
+void ViewExchange::ask(HostId host)
+{
+    const MemberInfo *member = this->membership.find(host);
+    if (member == nullptr)
+        return;
+    this->asking = true;
+    const std::string address = this->viewAddressOf(member->address);
+    const auto caller = std::make_shared<HttpCaller>(this->loop, address);
+    const std::string target
+            = "/view?after=" + std::to_string(this->view.revision())
+              + "&tables=" + std::to_string(this->view.tablesRevision().value);
+    caller->get(target, askPatience,
+                [this, caller, address, held = this->alive](const HttpCallResult &result) {
+                    if (*held)
+                        this->onAnswer(address, result);
+                });
+}
+
+void ViewExchange::onAnswer(const std::string &from, const HttpCallResult &result)
+{
+    this->asking = false;
+    if (result.status != statusOk)
+        return;
+    auto delta = decode<ViewDelta>(result.body);
+    if (!delta)
+        return;
+    const std::size_t entries = delta->entries.size();
+    const std::uint64_t complete = delta->complete;
+    this->view.takeDelta(std::move(*delta), SteadyClock::now());
+    logEvent(LogEvent::PeerViewTaken,
+             "peer=" + from + " entries=" + std::to_string(entries) + " tables="
+                     + std::to_string(this->view.tablesRevision().value) + " revision="
+                     + std::to_string(complete));
+}
+
+void ViewExchange::answer(HttpExchange &exchange)
+{
+    std::uint64_t after = 0;
+    Revision tables;
+    bool valid = false;
+    try {
+        const Poco::URI uri(exchange.request().head.getURI());
+        for (const auto &[name, value] : uri.getQueryParameters()) {
+            std::uint64_t number = 0;
+            const auto parsed = std::from_chars(value.data(), value.data() + value.size(), number);
+            valid = parsed.ec == std::errc() && parsed.ptr == value.data() + value.size();
+            if (name == "after")
+                after = number;
+            else if (name == "tables")
+                tables.value = number;
+        }
+    } catch (const Poco::Exception &) {
+        valid = false;
+    }
+    if (!valid) {
+        exchange.respond(statusBadRequest, {}, "{\"error\":\"after and tables are expected\"}");
+        return;
+    }
+    exchange.respond(statusOk, {}, encode(this->view.delta(after, tables)),
+                     "application/octet-stream");
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/src/process/viewexchange.h
@@ -0,0 +1,85 @@
+// How hosts hear of each other and take from each other what the store does not tell them.
+#pragma once
+
+#include "connection/frame.h"
+#include "connection/httpserver.h"
+#include "process/eventloop.h"
+#include "process/gatewaysettings.h"
+#include "process/httpcall.h"
+#include "process/membership.h"
+#include "version/servingview.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <Poco/Net/DatagramSocket.h>
+
+namespace quetzal {
+
+// What an exchange needs of the process.
+struct ViewExchangeHooks
+{
+    // True while the store answers this host.
+    std::function<bool()> storeAnswers;
+    // Another host knows of something newer that the store's feed has not told for a while.
+    std::function<void()> feedIsBehind;
+    // The number of hosts that share budgets changed.
+    std::function<void(std::uint32_t)> hostsChanged;
+};
+
+// Sends and takes heartbeats that carry the revision of each host's view, answers other hosts'
+// questions about this one's view, and asks a host that is ahead. Used on one loop.
+class ViewExchange
+{
+public:
+    // Throws Poco::Net::NetException if an address cannot be bound.
+    ViewExchange(EventLoop &loop, const GatewaySettings &settings, ServingView &view,
+                 ViewExchangeHooks hooks);
+    ~ViewExchange();
+    ViewExchange(const ViewExchange &) = delete;
+    ViewExchange &operator=(const ViewExchange &) = delete;
+
+    void start();
+
+    // Takes the view addresses of hosts that may exist.
+    void addSeeds(const std::vector<std::string> &seeds);
+
+    // Tells the others that this host stops.
+    void leave();
+
+private:
+    class Socket;
+
+    void onDatagram(std::string_view bytes);
+    void send(std::vector<OutgoingHeartbeat> &out);
+    void tick();
+    void catchUp(Millis now);
+    void ask(HostId host);
+    void onAnswer(const std::string &from, const HttpCallResult &result);
+    void answer(HttpExchange &exchange);
+    void countHosts(Millis now);
+    std::string viewAddressOf(const std::string &heartbeatAddress) const;
+    std::string heartbeatAddressOf(const std::string &viewAddress) const;
+
+    EventLoop &loop;
+    GatewaySettings settings;
+    ServingView &view;
+    ViewExchangeHooks hooks;
+    KeyRing keys;
+    Membership membership;
+    std::shared_ptr<Socket> socket;
+    std::shared_ptr<HttpServer> server;
+    TimerId timer = 0;
+    // Since when some host has been ahead, and by how much it was then.
+    Millis behindSince = Millis::never();
+    std::uint64_t revisionWhenBehind = 0;
+    bool asking = false;
+    std::uint32_t hosts = 0;
+    std::uint32_t mostHosts = 0;
+    Millis mostHostsAt;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace quetzal
--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -172,6 +172,11 @@
         this->metrics.add(send.extra ? Counter::Hedges : Counter::SubRequests);
         if (target)
             target->searcher->onSent({ id, send.ordinal }, send.typical, now);
+        if (send.extra && target)
+            logEvent(LogEvent::AttemptExtra,
+                     "id=" + entry.request->requestId + " pool=" + target->pool->name()
+                             + " searcher=" + send.searcher->registration().id + " budget_left="
+                             + std::to_string(target->pool->budget().left(now)));
     }
     for (const std::uint32_t ordinal : actions.abandon) {
         if (entry.sent[ordinal].first)
@@ -444,7 +449,9 @@
     for (auto item = this->targets.begin(); item != this->targets.end();) {
         const TargetPtr target = item->second;
         target->link->sweep(now);
-        if (target->searcher->availability(now) == Availability::Closed) {
+        // One whose address was taken over stays known, so that it is not begun anew.
+        const bool left = target->searcher->registration().state != SearcherState::Ready;
+        if (left && target->searcher->availability(now) == Availability::Closed) {
             target->link->retire();
             target->pool->remove(*target->searcher);
             this->retired.push_back(target);
--- a/src/request/trackedsearcher.cpp
+++ b/src/request/trackedsearcher.cpp
@@ -36,12 +36,16 @@
 
 void TrackedSearcher::update(const DirectoryEntry &next, Millis until)
 {
+    if (next.revision > this->entry.revision)
+        this->replaced = false;
     this->entry = next;
     this->lastUse = until;
 }
 
 Availability TrackedSearcher::availability(Millis now) const
 {
+    if (this->replaced)
+        return Availability::Closed;
     if (this->entry.state == SearcherState::Ready)
         return Availability::Usable;
     return now < this->lastUse ? Availability::LastResort : Availability::Closed;
@@ -73,6 +77,10 @@
         this->refusals = before + ((refused ? 1 : 0) - before) * refusalGain;
         this->refusalsAt = now;
     }
+    if (outcome.code == Fault::WrongIncarnation) {
+        this->replaced = true;
+        return;
+    }
     if (countsAgainstSearcher(outcome.code)) {
         this->recordFailure(now);
         return;
--- a/src/request/trackedsearcher.h
+++ b/src/request/trackedsearcher.h
@@ -69,6 +69,8 @@
     Millis lastUse = Millis::never();
     Millis warmUntil;
     std::uint32_t connectionLimit = 1;
+    // Another searcher answered at the address.
+    bool replaced = false;
     std::vector<OpenAttempt> open;
     // Latency relative to what is typical of the route; one is usual.
     double slowness = 1;
