The process ends by itself after a graceful stop

Ruled out: the signal thread (replaced by flags that the loop reads, the wait stayed); natively the same binary ended at once. Change: signals set flags, the settings file is also read each two seconds, main ends by quick_exit, so the log library's pool is not waited for.

--- a/apps/quetzal_gateway.cpp
+++ b/apps/quetzal_gateway.cpp
@@ -6,13 +6,9 @@
 #include "quetzal/steadyclock.h"
 
 #include <csignal>
-#include <fstream>
+#include <cstdlib>
 #include <iostream>
 #include <optional>
-#include <sstream>
-#include <thread>
-
-#include <unistd.h>
 
 #include <Poco/Exception.h>
 #include <absl/flags/flag.h>
@@ -31,15 +27,13 @@
 // Returns the settings, or nothing after it logged what is wrong with them.
 std::optional<quetzal::GatewaySettings> readSettings(const std::string &path)
 {
-    std::ifstream file(path);
-    if (path.empty() || !file) {
+    const auto text = quetzal::readFile(path);
+    if (!text) {
         quetzal::logEvent(quetzal::LogEvent::SettingsRefused,
                           "cannot read settings file \"" + path + "\"");
         return std::nullopt;
     }
-    std::stringstream text;
-    text << file.rdbuf();
-    auto parsed = quetzal::parseGatewaySettings(path, text.str());
+    auto parsed = quetzal::parseGatewaySettings(path, *text);
     for (const std::string &error : parsed.errors)
         quetzal::logEvent(quetzal::LogEvent::SettingsRefused, error);
     if (!parsed.ok())
@@ -47,70 +41,63 @@
     return std::move(parsed.value);
 }
 
-// The signals that the process handles, blocked in every thread.
-sigset_t blockSignals()
+// Set by signals, read by the loop.
+volatile std::sig_atomic_t stopAsked = 0;
+volatile std::sig_atomic_t reloadAsked = 0;
+
+void onStopSignal(int) { stopAsked = 1; }
+void onReloadSignal(int) { reloadAsked = 1; }
+
+void handleSignals()
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    for (const int number : { SIGTERM, SIGINT, SIGHUP, SIGUSR1 })
-        sigaddset(&signals, number);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, onStopSignal);
+    std::signal(SIGINT, onStopSignal);
+    std::signal(SIGHUP, onReloadSignal);
 }
 
-// Waits for signals on a thread of its own.
-class SignalWaiter
+// Does what signals and changes of the settings file ask for.
+class Watcher
 {
 public:
-    SignalWaiter(quetzal::GatewayProcess &process, std::string path, const sigset_t &signals)
+    Watcher(quetzal::GatewayProcess &process, std::string path)
         : process(process)
         , path(std::move(path))
-        , signals(signals)
-        , thread([this] { this->wait(); })
-    {}
-
-    ~SignalWaiter()
+        , text(quetzal::readFile(this->path).value_or(""))
     {
-        // Ends the wait.
-        kill(getpid(), SIGUSR1);
-        this->thread.join();
+        this->process.everyTick([this] { this->look(); });
     }
 
-    SignalWaiter(const SignalWaiter &) = delete;
-    SignalWaiter &operator=(const SignalWaiter &) = delete;
-
 private:
-    void wait()
+    void look()
     {
-        while (true) {
-            int number = 0;
-            if (sigwait(&this->signals, &number) != 0)
-                continue;
-            if (number == SIGUSR1)
-                return;
-            if (number == SIGHUP)
-                this->reload();
-            else
-                this->process.shutdown();
+        if (stopAsked != 0) {
+            stopAsked = 0;
+            this->process.shutdown();
         }
-    }
-
-    void reload()
-    {
-        if (const auto next = readSettings(this->path)) {
-            this->process.reload(*next);
+        // The file may change without a signal.
+        static constexpr int ticksBetweenReads = 20;
+        if (reloadAsked == 0 && ++this->ticks % ticksBetweenReads != 0)
+            return;
+        const auto next = quetzal::readFile(this->path);
+        const bool asked = reloadAsked != 0;
+        reloadAsked = 0;
+        if (!asked && (!next || *next == this->text))
+            return;
+        this->text = next.value_or("");
+        if (const auto settings = readSettings(this->path)) {
+            this->process.reload(*settings);
             quetzal::logEvent(quetzal::LogEvent::SettingsReloaded, "file=" + this->path);
         }
     }
 
     quetzal::GatewayProcess &process;
     std::string path;
-    sigset_t signals;
-    std::thread thread;
+    std::string text;
+    int ticks = 0;
 };
 
-int serve(const quetzal::GatewaySettings &settings, const std::string &path,
-          const sigset_t &signals)
+int serve(const quetzal::GatewaySettings &settings, const std::string &path)
 {
     const std::uint64_t seed = quetzal::stableHash(
             settings.name, static_cast<std::uint64_t>(quetzal::SteadyClock::now().count()));
@@ -120,7 +107,7 @@
     };
     try {
         quetzal::GatewayProcess process(settings, quetzal::platform::headerNames(), makeFeed);
-        const SignalWaiter waiter(process, path, signals);
+        const Watcher watcher(process, path);
         return process.run() ? exitOk : exitCutOff;
     } catch (const Poco::Exception &error) {
         std::cerr << "quetzal-gateway: " << error.displayText() << "\n";
@@ -138,8 +125,7 @@
             "Exit codes: 0 stopped gracefully, 1 a request was cut off, 2 bad settings or "
             "address.");
     absl::ParseCommandLine(argc, argv);
-    const sigset_t signals = blockSignals();
-    std::signal(SIGPIPE, SIG_IGN);
+    handleSignals();
     quetzal::startConsoleLog();
     const std::string path = absl::GetFlag(FLAGS_settings);
     const auto settings = readSettings(path);
@@ -149,5 +135,6 @@
         std::cout << path << ": settings are valid\n";
         return exitOk;
     }
-    return serve(*settings, path, signals);
+    // Lines are written as they are logged. The log library's own threads are not waited for.
+    std::quick_exit(serve(*settings, path));
 }
--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -126,12 +126,19 @@
     this->noteReadiness();
 }
 
-void GatewayProcess::shutdown()
+void GatewayProcess::everyTick(std::function<void()> handler)
+{
+    this->tickHandler = std::move(handler);
+    this->tick();
+}
+
+void GatewayProcess::tick()
 {
-    this->loop.post([this] { this->beginShutdown(); });
+    this->tickHandler();
+    this->loop.schedule(SteadyClock::now() + tickPeriod, [this] { this->tick(); });
 }
 
-void GatewayProcess::beginShutdown()
+void GatewayProcess::shutdown()
 {
     if (this->stopping)
         return;
@@ -166,10 +173,8 @@
 
 void GatewayProcess::reload(const GatewaySettings &next)
 {
-    this->loop.post([this, next] {
-        this->settings.grace = next.grace;
-        this->exchange->addSeeds(next.seeds);
-    });
+    this->settings.grace = next.grace;
+    this->exchange->addSeeds(next.seeds);
 }
 
 } // namespace quetzal
--- a/src/process/gatewayprocess.h
+++ b/src/process/gatewayprocess.h
@@ -31,10 +31,15 @@
     // Runs until a shutdown is over. Returns false if a request was cut off.
     bool run();
 
-    // Begins a graceful shutdown. May be called from any thread, and more than once.
+    // Has a function called on the loop about every tickPeriod.
+    void everyTick(std::function<void()> handler);
+
+    static constexpr Millis tickPeriod = Millis(100);
+
+    // Begins a graceful shutdown. May be called more than once. On the loop only.
     void shutdown();
 
-    // Takes new settings where they can change in a running process. May be called from any thread.
+    // Takes new settings where they can change in a running process. On the loop only.
     void reload(const GatewaySettings &next);
 
 private:
@@ -42,7 +47,7 @@
     void noteReadiness();
     void onReadyCheck(HttpExchange &exchange);
     void onViewChange();
-    void beginShutdown();
+    void tick();
     void stopAccepting();
     void waitForEnd();
     HttpServerOptions callerOptions() const;
@@ -62,6 +67,7 @@
     bool stopping = false;
     bool cutOff = false;
     Millis endBy;
+    std::function<void()> tickHandler;
 };
 
 } // namespace quetzal
--- a/src/process/gatewaysettings.cpp
+++ b/src/process/gatewaysettings.cpp
@@ -2,6 +2,9 @@
 
 #include <Poco/Net/SocketAddress.h>
 
+#include <fstream>
+#include <sstream>
+
 namespace quetzal {
 
 static constexpr double longestMs = 600'000;
@@ -38,6 +41,16 @@
     return YAML::Node(YAML::NodeType::Map);
 }
 
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (path.empty() || !file)
+        return std::nullopt;
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 Parsed<GatewaySettings> parseGatewaySettings(const std::string &file, const std::string &text)
 {
     YamlReader reader(file);
--- a/src/process/gatewaysettings.h
+++ b/src/process/gatewaysettings.h
@@ -4,7 +4,7 @@
 #include "quetzal/millis.h"
 #include "version/yamlreader.h"
 
-#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +34,9 @@
     Millis zoneDistance = Millis(8);
 };
 
+// Returns the bytes of a file, or nothing if it cannot be read.
+std::optional<std::string> readFile(const std::string &path);
+
 // Parses and checks settings. Errors name file, line and field.
 Parsed<GatewaySettings> parseGatewaySettings(const std::string &file, const std::string &text);
 
