Searchers count the connections of hosts that died: two a host, one after a reset

Ruled out: the store (all were ready within 0.05 s of their start), late registrations. Change: at most 2 connections to a searcher; a host keeps to the number of hosts that it was told to assume for its first 5 s; after a new connection was reset, one connection for 2 s. Tests: searcherlinktest, with every way in which a reply goes wrong.

--- a/apps/quetzal_gateway.cpp
+++ b/apps/quetzal_gateway.cpp
@@ -45,8 +45,14 @@
 volatile std::sig_atomic_t stopAsked = 0;
 volatile std::sig_atomic_t reloadAsked = 0;
 
-void onStopSignal(int) { stopAsked = 1; }
-void onReloadSignal(int) { reloadAsked = 1; }
+void onStopSignal(int)
+{
+    stopAsked = 1;
+}
+void onReloadSignal(int)
+{
+    reloadAsked = 1;
+}
 
 void handleSignals()
 {
--- a/src/connection/searcherlink.cpp
+++ b/src/connection/searcherlink.cpp
@@ -14,6 +14,8 @@
 static constexpr Millis lingerTime = Millis(250);
 // Time after its deadline at which a connection without a reply is taken for silent.
 static constexpr Millis silenceTime = Millis(300);
+// Time for which one connection is used after a new one was reset.
+static constexpr Millis narrowTime = Millis(2000);
 static constexpr Millis defaultKeepAlive = Millis(4000);
 // A searcher may close an idle connection this much before the time it stated.
 static constexpr Millis keepAliveMargin = Millis(700);
@@ -66,7 +68,8 @@
         this->waiting.pop_front();
         this->send(connection, std::move(next));
     }
-    while (connecting < this->waiting.size() && this->connections.size() < this->limit) {
+    while (connecting < this->waiting.size()
+           && this->connections.size() < this->connectionLimit(now)) {
         this->openConnection();
         ++connecting;
     }
@@ -236,6 +239,8 @@
 {
     const std::shared_ptr<SearcherLink> self = this->shared_from_this();
     std::erase(this->connections, connection);
+    if (!connection->answeredBefore && !connection->stream->endedInOrder())
+        this->narrowUntil = SteadyClock::now() + narrowTime;
     if (!connection->work) {
         // The connection never came about: what waited for it was not sent.
         const bool refused = !connection->stream->isConnected();
--- a/src/connection/searcherlink.h
+++ b/src/connection/searcherlink.h
@@ -49,7 +49,12 @@
     // Ends waiting attempts that this process slept over.
     void expireWaiting();
 
-    void setConnectionLimit(std::uint32_t limit) { this->limit = limit; }
+    // Sets how many connections may be open. After the searcher reset a new one, a single one is
+    // used for a while: it counts the connections of all hosts, also of those that died.
+    void setConnectionLimit(std::uint32_t next) { this->limit = next; }
+
+    // Returns how many connections may be open now.
+    std::uint32_t connectionLimit(Millis now) const { return now < this->narrowUntil ? 1 : limit; }
 
     // Closes connections as they fall idle.
     void retire() { this->retired = true; }
@@ -107,6 +112,7 @@
     Poco::Net::SocketAddress address;
     SearcherLinkCallbacks callbacks;
     std::uint32_t limit = 1;
+    Millis narrowUntil;
     bool retired = false;
     std::vector<ConnectionPtr> connections;
     std::deque<Work> waiting;
--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -23,6 +23,8 @@
 static constexpr Millis askPatience = Millis(600);
 // Time for which hosts that are no longer heard of still count: their share of a budget was spent.
 static constexpr Millis hostsMemory = Millis(20'000);
+// Time for which a new host keeps to the number of hosts that it was told to assume.
+static constexpr Millis settlingTime = Millis(5000);
 // Without secrets in the settings the signature is a checksum only.
 static constexpr const char *unkeyedSecret = "quetzalchute-unkeyed";
 
@@ -144,6 +146,7 @@
 
 void ViewExchange::start()
 {
+    this->startedAt = SteadyClock::now();
     this->addSeeds(this->settings.seeds);
     this->tick();
 }
@@ -204,8 +207,8 @@
                      + std::string(memberStateNames[static_cast<std::size_t>(member.state)]);
         logEvent(LogEvent::PeersChanged, "alive=" + std::to_string(count) + " hosts=" + names);
     }
-    // Alone, a host cannot tell a small fleet from a cut: it keeps what it assumed.
-    if (count < 2)
+    // Alone, a host cannot tell a small fleet from a cut; new, it has not heard of all.
+    if (count < 2 || now - this->startedAt < settlingTime)
         return;
     if (count >= this->mostHosts) {
         this->mostHostsAt = now;
@@ -250,9 +253,8 @@
     this->asking = true;
     const std::string address = this->viewAddressOf(member->address);
     const auto caller = std::make_shared<HttpCaller>(this->loop, address);
-    const std::string target
-            = "/view?after=" + std::to_string(this->view.revision())
-              + "&tables=" + std::to_string(this->view.tablesRevision().value);
+    const std::string target = "/view?after=" + std::to_string(this->view.revision())
+                               + "&tables=" + std::to_string(this->view.tablesRevision().value);
     caller->get(target, askPatience,
                 [this, caller, address, held = this->alive](const HttpCallResult &result) {
                     if (*held)
@@ -272,9 +274,9 @@
     const std::uint64_t complete = delta->complete;
     this->view.takeDelta(std::move(*delta), SteadyClock::now());
     logEvent(LogEvent::PeerViewTaken,
-             "peer=" + from + " entries=" + std::to_string(entries) + " tables="
-                     + std::to_string(this->view.tablesRevision().value) + " revision="
-                     + std::to_string(complete));
+             "peer=" + from + " entries=" + std::to_string(entries)
+                     + " tables=" + std::to_string(this->view.tablesRevision().value)
+                     + " revision=" + std::to_string(complete));
 }
 
 void ViewExchange::answer(HttpExchange &exchange)
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -79,6 +79,7 @@
     std::uint32_t hosts = 0;
     std::uint32_t mostHosts = 0;
     Millis mostHostsAt;
+    Millis startedAt;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -21,7 +21,7 @@
 static constexpr Millis answerTransit = Millis(6);
 // Margin that keeps the sum of all hosts within the budget.
 static constexpr double budgetShare = 0.8;
-static constexpr std::uint32_t mostConnections = 4;
+static constexpr std::uint32_t mostConnections = 2;
 static constexpr const char *retryAfterSeconds = "0.1";
 
 Gateway::Gateway(EventLoop &loop, Metrics &metrics, const Dialect &dialect, const ServingView &view,
@@ -175,8 +175,8 @@
         if (send.extra && target)
             logEvent(LogEvent::AttemptExtra,
                      "id=" + entry.request->requestId + " pool=" + target->pool->name()
-                             + " searcher=" + send.searcher->registration().id + " budget_left="
-                             + std::to_string(target->pool->budget().left(now)));
+                             + " searcher=" + send.searcher->registration().id
+                             + " budget_left=" + std::to_string(target->pool->budget().left(now)));
     }
     for (const std::uint32_t ordinal : actions.abandon) {
         if (entry.sent[ordinal].first)
--- /dev/null
+++ b/tests/searcherlinktest.cpp
@@ -0,0 +1,252 @@
+// A link to a searcher against a scripted one: each way in which a reply can go wrong.
+#include "connection/searcherlink.h"
+#include "quetzal/steadyclock.h"
+
+#include <map>
+#include <utility>
+
+#include <Poco/Net/ServerSocket.h>
+#include <doctest/doctest.h>
+
+using namespace quetzal;
+
+namespace {
+
+// What the scripted searcher does with the request that it has read, and its connection.
+struct Script
+{
+    std::string reply;
+    bool closes = false;
+    bool resets = false;
+};
+
+// Accepts connections, and answers the n-th request by the n-th script.
+class ScriptedSearcher final : public EventHandler
+{
+public:
+    static std::shared_ptr<ScriptedSearcher> start(EventLoop &loop, std::vector<Script> scripts)
+    {
+        std::shared_ptr<ScriptedSearcher> searcher(new ScriptedSearcher(loop, std::move(scripts)));
+        searcher->socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
+        searcher->socket.listen(16);
+        searcher->socket.setBlocking(false);
+        loop.add(searcher->socket, searcher, false);
+        return searcher;
+    }
+
+    ~ScriptedSearcher() override { this->loop.remove(this->socket); }
+
+    void onReadable() override
+    {
+        Poco::Net::StreamSocket accepted = this->socket.acceptConnection();
+        this->accepted += 1;
+        if (this->resetsConnections) {
+            accepted.setLinger(true, 0);
+            accepted.close();
+            return;
+        }
+        const std::size_t number = this->streams.size();
+        StreamCallbacks callbacks;
+        callbacks.onData = [this, number](std::string_view data) { this->onData(number, data); };
+        this->sockets.push_back(accepted);
+        this->streams.push_back(TcpStream::accept(this->loop, accepted, callbacks));
+    }
+    void onWritable() override {}
+    void onSocketError() override {}
+
+    std::string address() const { return this->socket.address().toString(); }
+
+    std::vector<std::string> requests;
+    int accepted = 0;
+    bool resetsConnections = false;
+
+private:
+    ScriptedSearcher(EventLoop &loop, std::vector<Script> scripts)
+        : loop(loop)
+        , scripts(std::move(scripts))
+    {}
+
+    void onData(std::size_t number, std::string_view data)
+    {
+        const std::size_t request = this->requests.size();
+        this->requests.emplace_back(data);
+        if (request >= this->scripts.size())
+            return;
+        const Script &script = this->scripts[request];
+        this->streams[number]->write(script.reply);
+        if (script.resets)
+            this->sockets[number].setLinger(true, 0);
+        if (script.closes || script.resets)
+            this->streams[number]->close();
+    }
+
+    EventLoop &loop;
+    std::vector<Script> scripts;
+    Poco::Net::ServerSocket socket;
+    std::vector<Poco::Net::StreamSocket> sockets;
+    std::vector<std::shared_ptr<TcpStream>> streams;
+};
+
+struct Ended
+{
+    Outcome outcome;
+    SearcherReply reply;
+};
+
+// A link to a scripted searcher on one loop.
+class LinkBench
+{
+public:
+    explicit LinkBench(std::vector<Script> scripts)
+        : searcher(ScriptedSearcher::start(this->loop, std::move(scripts)))
+    {
+        SearcherLinkCallbacks callbacks;
+        callbacks.onEnd
+                = [this](const AttemptId &id, const Outcome &outcome, SearcherReply &&reply) {
+                      this->ended[id.ordinal] = { outcome, std::move(reply) };
+                      // Outside of the callback, as the next request would come.
+                      if (this->followUp)
+                          this->loop.post(std::exchange(this->followUp, {}));
+                      if (this->ended.size() >= this->awaited)
+                          this->loop.stop();
+                  };
+        this->link = std::make_shared<SearcherLink>(this->loop, this->metrics, this->dialect, "s1",
+                                                    this->searcher->address(), callbacks);
+        this->link->setConnectionLimit(2);
+    }
+
+    void submit(std::uint32_t ordinal, const std::string &requestId)
+    {
+        const auto request = std::make_shared<OutboundRequest>();
+        request->method = "GET";
+        request->target = "/a";
+        request->requestId = requestId;
+        this->link->submit({ { 1 }, ordinal }, request, SteadyClock::now() + Millis(2000));
+    }
+
+    // Runs until so many attempts have ended, for two seconds at most.
+    void run(std::size_t count)
+    {
+        this->awaited = count;
+        this->loop.schedule(SteadyClock::now() + Millis(2000), [this] { this->loop.stop(); });
+        this->loop.run();
+        REQUIRE(this->ended.size() >= count);
+    }
+
+    EventLoop loop;
+    Metrics metrics{ "test" };
+    Dialect dialect{ HeaderNames() };
+    std::shared_ptr<ScriptedSearcher> searcher;
+    std::shared_ptr<SearcherLink> link;
+    std::map<std::uint32_t, Ended> ended;
+    std::size_t awaited = 1;
+    // Done once, after the first end of an attempt.
+    std::function<void()> followUp;
+};
+
+std::string replyFor(const std::string &id, const std::string &body = "abc")
+{
+    return "HTTP/1.1 200 OK\r\nX-Quetzal-Request-Id: " + id
+           + "\r\nX-Quetzal-Seal: sealed\r\nContent-Length: " + std::to_string(body.size())
+           + "\r\n\r\n" + body;
+}
+
+Ended single(const Script &script)
+{
+    LinkBench bench({ script });
+    bench.submit(0, "r0");
+    bench.run(1);
+    return bench.ended[0];
+}
+
+} // namespace
+
+TEST_CASE("a whole reply of this request succeeds, with seal and body as they were")
+{
+    const Ended end = single({ replyFor("r0") });
+    CHECK(end.outcome.succeeded());
+    CHECK(end.reply.seal == "sealed");
+    CHECK(end.reply.body == "abc");
+}
+
+TEST_CASE("each way in which a reply can go wrong has its verdict")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Quetzal-Seal: s\r\n";
+    const Ended cut = single({ head + "Content-Length: 9\r\n\r\nabc", true });
+    CHECK(cut.outcome.verdict == Verdict::MayHaveRun);
+    const Ended unframed = single({ head + "\r\nabc", true });
+    CHECK(unframed.outcome.succeeded());
+    CHECK(unframed.reply.body == "abc");
+    const Ended reset = single({ head + "\r\nabc", false, true });
+    CHECK(reset.outcome.verdict == Verdict::MayHaveRun);
+    const Ended noise = single({ "\x01\x02 noise\r\n\r\n" });
+    CHECK(noise.outcome.code == Fault::ReplyMismatch);
+    const Ended unsealed = single({ "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" });
+    CHECK_FALSE(unsealed.outcome.succeeded());
+    const Ended refused
+            = single({ "HTTP/1.1 503 Busy\r\nX-Quetzal-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" });
+    CHECK(refused.outcome.verdict == Verdict::NotRun);
+    const Ended failed
+            = single({ "HTTP/1.1 500 Oops\r\nX-Quetzal-Seal: s\r\nContent-Length: 0\r\n\r\n" });
+    CHECK(failed.outcome.verdict == Verdict::Ran);
+    CHECK(failed.reply.status == 500);
+    const Ended other = single({ "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n" });
+    CHECK(other.outcome.verdict == Verdict::NotRun);
+    CHECK(other.outcome.code == Fault::WrongIncarnation);
+}
+
+TEST_CASE("a late reply to another request is passed over, and its connection not used again")
+{
+    LinkBench bench({ { replyFor("older", "zzz") + replyFor("r0") }, { replyFor("r1") } });
+    bench.submit(0, "r0");
+    bench.followUp = [&] { bench.submit(1, "r1"); };
+    bench.run(2);
+    CHECK(bench.ended[0].outcome.succeeded());
+    CHECK(bench.ended[0].reply.body == "abc");
+    CHECK(bench.searcher->accepted == 2);
+}
+
+TEST_CASE("bytes behind a reply belong to no request")
+{
+    LinkBench bench({ { replyFor("r0") + replyFor("r1", "extra") }, { replyFor("r1") } });
+    bench.submit(0, "r0");
+    bench.followUp = [&] { bench.submit(1, "r1"); };
+    bench.run(2);
+    CHECK(bench.ended[1].reply.body == "abc");
+    CHECK(bench.searcher->accepted == 2);
+}
+
+TEST_CASE("a connection that answered is used again")
+{
+    LinkBench bench({ { replyFor("r0") }, { replyFor("r1") } });
+    bench.submit(0, "r0");
+    bench.followUp = [&] { bench.submit(1, "r1"); };
+    bench.run(2);
+    CHECK(bench.searcher->accepted == 1);
+}
+
+TEST_CASE("an attempt that was never sent has not run, and abandoning it sends nothing")
+{
+    LinkBench bench({});
+    bench.link->setConnectionLimit(1);
+    bench.awaited = 99;
+    bench.submit(0, "r0");
+    bench.submit(1, "r1");
+    bench.link->abandon({ { 1 }, 1 });
+    CHECK(bench.ended.at(1).outcome.verdict == Verdict::NotRun);
+    bench.loop.schedule(SteadyClock::now() + Millis(50), [&] { bench.loop.stop(); });
+    bench.loop.run();
+    REQUIRE(bench.searcher->requests.size() == 1);
+}
+
+TEST_CASE("after a new connection was reset one connection is used for a while")
+{
+    LinkBench bench({});
+    bench.searcher->resetsConnections = true;
+    bench.submit(0, "r0");
+    bench.run(1);
+    CHECK(bench.ended[0].outcome.verdict != Verdict::Ran);
+    const Millis now = SteadyClock::now();
+    CHECK(bench.link->connectionLimit(now) == 1);
+    CHECK(bench.link->connectionLimit(now + Millis(5000)) == 2);
+}
