--- a/src/connection/peerlink.cpp
+++ b/src/connection/peerlink.cpp
@@ -159,6 +159,13 @@
     this->peer(peer).address = address;
 }
 
+void PeerLink::setIncarnation(Incarnation next)
+{
+    this->incarnation = next;
+    for (auto &[id, entry] : this->peers)
+        entry.channel = std::make_unique<Channel>(this->self, next, firstRoundTrip);
+}
+
 void PeerLink::forget(HostId peer)
 {
     const auto found = this->peers.find(peer);
--- a/src/connection/peerlink.h
+++ b/src/connection/peerlink.h
@@ -63,6 +63,9 @@
     // Sends a message that is given up after its lifetime.
     void send(HostId peer, std::string payload, Millis lifetime);
 
+    // Begins a new life: messages of the old one are dropped.
+    void setIncarnation(Incarnation next);
+
     // Forgets a peer with its unacknowledged messages.
     void forget(HostId peer);
 
--- /dev/null
+++ b/src/connection/relaymessages.h
@@ -0,0 +1,85 @@
+// Messages by which one host has another gather some parts of a request. Encoded with cereal;
+// fields are added at the end only.
+#pragma once
+
+#include "quetzal/fault.h"
+#include "quetzal/ids.h"
+#include "version/codec.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace quetzal {
+
+// Parts of a request that the receiver is to gather. Times are what is left of them.
+struct RelayQuery
+{
+    std::uint64_t number = 0;
+    // The tables that the parts must be by.
+    Revision tables;
+    std::string route;
+    // Positions in the route's list of pools.
+    std::vector<std::uint16_t> shards;
+    std::string method;
+    std::string target;
+    std::string requestId;
+    std::string forwarded;
+    std::string body;
+    double targetMs = 0;
+    double deadlineMs = 0;
+    // Parts that the whole answer may lack.
+    std::uint16_t mostMissing = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->number, this->tables, this->route, this->shards, this->method, this->target,
+                this->requestId, this->forwarded, this->body, this->targetMs, this->deadlineMs,
+                this->mostMissing);
+    }
+};
+
+// What was gathered.
+struct RelayAnswer
+{
+    std::uint64_t number = 0;
+    // None if the receiver took the request.
+    Fault refused = Fault::None;
+    // A seal for each of the shards that were asked for; empty where the part is missing.
+    std::vector<std::string> seals;
+    // The merged records of the parts.
+    std::string records;
+    // True if some searcher ran the request or may have run it.
+    bool mayHaveRun = false;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->number, this->refused, this->seals, this->records, this->mayHaveRun);
+    }
+};
+
+// Withdraws a relayed request.
+struct RelayCancel
+{
+    std::uint64_t number = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->number);
+    }
+};
+
+// What a message between gateways holds.
+enum class RelayKind : std::uint8_t { Query, Answer, Cancel };
+
+// Returns the bytes of a message with its kind.
+template <typename Message>
+std::string packRelay(RelayKind kind, const Message &message)
+{
+    return static_cast<char>(kind) + encode(message);
+}
+
+} // namespace quetzal
--- a/src/process/eventlog.h
+++ b/src/process/eventlog.h
@@ -47,6 +47,7 @@
     PeerViewTaken,
     StoreListed,
     AttemptExtra,
+    RelayFallBack,
 };
 
 // How much an event matters.
@@ -61,7 +62,7 @@
 };
 
 // In the order of the enumerators.
-inline constexpr std::array<LogEventInfo, 37> logEvents = { {
+inline constexpr std::array<LogEventInfo, 38> logEvents = { {
         { 1001, "started", LogLevel::Info },
         { 1002, "ready", LogLevel::Info },
         { 1003, "not-ready", LogLevel::Warning },
@@ -99,6 +100,7 @@
         { 1208, "peer-view-taken", LogLevel::Info },
         { 1106, "store-listed", LogLevel::Info },
         { 2305, "attempt-extra", LogLevel::Info },
+        { 2306, "relay-fall-back", LogLevel::Warning },
 } };
 
 // Sets where log lines go: a file, or standard error if the path is empty.
--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -23,10 +23,9 @@
                       static_cast<std::uint64_t>(SteadyClock::now().count() * 1000));
 }
 
-GatewayOptions GatewayProcess::gatewayOptions() const
+ScatterHostOptions GatewayProcess::scatterOptions() const
 {
-    GatewayOptions options;
-    options.host = this->settings.name;
+    ScatterHostOptions options;
     options.zone = this->settings.zone;
     options.zoneDistance = this->settings.zoneDistance;
     options.retries.ratio = this->settings.retryRatio;
@@ -41,14 +40,31 @@
     : settings(settings)
     , metrics("gateway")
     , dialect(std::move(names))
-    , gateway(this->loop, this->metrics, this->dialect, this->view, this->gatewayOptions())
+    , scatters(this->loop, this->metrics, this->dialect, this->view, this->scatterOptions())
+    , relays(this->loop, this->view, this->scatters, settings.zone, startSeed(settings.name))
+    , gateway(this->loop, this->metrics, this->dialect, this->view, this->scatters, this->relays)
 {
     this->view.onChange([this] { this->onViewChange(); });
     this->feed = makeFeed(this->loop, this->settings.storeAddress, this->view);
     ViewExchangeHooks hooks;
     hooks.storeAnswers = [this] { return this->feed->isHealthy(); };
     hooks.feedIsBehind = [this] { this->feed->refresh(); };
-    hooks.hostsChanged = [this](std::uint32_t count) { this->gateway.setHosts(count); };
+    hooks.hostsChanged = [this](std::uint32_t count) { this->scatters.setHosts(count); };
+    hooks.peersChanged = [this](const std::vector<MemberInfo> &alive) {
+        std::vector<RelayPeer> peers;
+        for (const MemberInfo &member : alive)
+            peers.push_back({ member.id, member.zone });
+        this->relays.setPeers(std::move(peers));
+    };
+    hooks.onMessage = [this](HostId from, const std::string &payload) {
+        this->relays.onMessage(from, payload);
+    };
+    hooks.onPeerLost = [this](HostId host) { this->relays.onPeerLost(host); };
+    this->relays.setSender(
+            [this](HostId host, std::string payload) {
+                this->exchange->sendMessage(host, std::move(payload));
+            },
+            [this](HostId host) { return this->exchange->roundTripTo(host); });
     this->exchange = std::make_unique<ViewExchange>(this->loop, this->settings, this->view,
                                                     std::move(hooks));
     this->callers = HttpServer::listen(
@@ -66,7 +82,8 @@
     this->loop.onPause([this](Millis gap) {
         logEvent(LogEvent::ProcessPaused, "gap_ms=" + std::to_string(gap.count()));
         this->metrics.add(Counter::Pauses);
-        this->gateway.onPaused();
+        this->exchange->onPaused();
+        this->scatters.onPaused();
     });
 }
 
@@ -122,7 +139,8 @@
 void GatewayProcess::onViewChange()
 {
     this->callers->setOptions(this->callerOptions());
-    this->gateway.onView();
+    this->scatters.onView();
+    this->relays.onView();
     this->noteReadiness();
 }
 
@@ -148,6 +166,7 @@
     logEvent(LogEvent::Stopping, "host=" + this->settings.name);
     this->noteReadiness();
     this->exchange->leave();
+    this->relays.stop();
     this->callers->announceClose();
     this->loop.schedule(now + this->settings.grace * acceptingShare,
                         [this] { this->stopAccepting(); });
@@ -161,7 +180,8 @@
 
 void GatewayProcess::waitForEnd()
 {
-    const bool idle = this->gateway.runningRequests() == 0 && this->callers->connectionCount() == 0;
+    const bool idle = this->gateway.runningRequests() == 0 && this->scatters.running() == 0
+                      && this->callers->connectionCount() == 0;
     const bool late = SteadyClock::now() >= this->endBy;
     if (idle || late) {
         this->cutOff = !idle && this->gateway.runningRequests() > 0;
--- a/src/process/gatewayprocess.h
+++ b/src/process/gatewayprocess.h
@@ -51,13 +51,15 @@
     void stopAccepting();
     void waitForEnd();
     HttpServerOptions callerOptions() const;
-    GatewayOptions gatewayOptions() const;
+    ScatterHostOptions scatterOptions() const;
 
     GatewaySettings settings;
     EventLoop loop;
     Metrics metrics;
     Dialect dialect;
     ServingView view;
+    ScatterHost scatters;
+    RelayDesk relays;
     Gateway gateway;
     std::unique_ptr<ViewFeed> feed;
     std::unique_ptr<ViewExchange> exchange;
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -127,8 +127,16 @@
     if (info.id == this->self.id || found != this->members.end()) {
         // The platform's list says how this host reaches the other; gossip does not.
         this->applyNews(newsOf(info), now);
-        if (found != this->members.end())
-            found->second.info.revision = std::max(found->second.info.revision, info.revision);
+        if (found == this->members.end())
+            return;
+        MemberInfo &known = found->second.info;
+        known.revision = std::max(known.revision, info.revision);
+        // A seed was known by its address alone.
+        if (known.zone != info.zone && info.incarnation == known.incarnation) {
+            known.zone = info.zone;
+            known.name = info.name;
+            this->changes += 1;
+        }
         return;
     }
     if (info.state == MemberState::Dead)
--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -5,7 +5,6 @@
 #include "version/codec.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <chrono>
 
@@ -16,10 +15,10 @@
 
 static constexpr int statusOk = 200;
 static constexpr int statusBadRequest = 400;
-static constexpr std::size_t mostDatagramBytes = 65'536;
 static constexpr Millis tickPeriod = Millis(200);
 // Time for which a host that the store answers may be behind another one before it asks.
 static constexpr Millis patienceWithFeed = Millis(900);
+static constexpr Millis messageLifetime = Millis(400);
 static constexpr Millis askPatience = Millis(600);
 // Time for which hosts that are no longer heard of still count: their share of a budget was spent.
 static constexpr Millis hostsMemory = Millis(20'000);
@@ -28,51 +27,6 @@
 // Without secrets in the settings the signature is a checksum only.
 static constexpr const char *unkeyedSecret = "quetzalchute-unkeyed";
 
-// Hands datagrams to the exchange.
-class ViewExchange::Socket final : public EventHandler
-{
-public:
-    Socket(ViewExchange &owner, const std::string &address)
-        : owner(owner)
-    {
-        this->socket.bind(Poco::Net::SocketAddress(address));
-        this->socket.setBlocking(false);
-    }
-
-    void onReadable() override
-    {
-        std::array<char, mostDatagramBytes> buffer;
-        try {
-            Poco::Net::SocketAddress from;
-            const int count = this->socket.receiveFrom(buffer.data(),
-                                                       static_cast<int>(buffer.size()), from);
-            if (count > 0)
-                this->owner.onDatagram({ buffer.data(), static_cast<std::size_t>(count) });
-        } catch (const Poco::Exception &) {
-            // A host that is gone refused an earlier datagram.
-            return;
-        }
-    }
-    void onWritable() override {}
-    void onSocketError() override {}
-
-    void send(const std::string &bytes, const std::string &address)
-    {
-        try {
-            this->socket.sendTo(bytes.data(), static_cast<int>(bytes.size()),
-                                Poco::Net::SocketAddress(address));
-        } catch (const Poco::Exception &) {
-            // Heartbeats are repeated.
-            return;
-        }
-    }
-
-    Poco::Net::DatagramSocket socket;
-
-private:
-    ViewExchange &owner;
-};
-
 static MemberInfo ownInfo(const GatewaySettings &settings)
 {
     MemberInfo info;
@@ -92,13 +46,23 @@
     , settings(settings)
     , view(view)
     , hooks(std::move(hooks))
-    , keys({ { 0, unkeyedSecret } })
     , membership(ownInfo(settings), MembershipTimes(),
                  stableHash(stableHash(settings.heartbeatAddress),
                             static_cast<std::uint64_t>(SteadyClock::now().count())))
-    , socket(std::make_shared<Socket>(*this, settings.heartbeatAddress))
 {
-    this->loop.add(this->socket->socket, this->socket, false);
+    PeerCallbacks callbacks;
+    callbacks.onHeartbeat = [this](const Heartbeat &heartbeat) { this->onHeartbeat(heartbeat); };
+    callbacks.onMessage = [this](HostId from, const std::string &payload) {
+        if (!this->link->mayBeStale(SteadyClock::now()))
+            this->hooks.onMessage(from, payload);
+    };
+    callbacks.onUnresponsive = [this](HostId peer) { this->hooks.onPeerLost(peer); };
+    callbacks.onResponsive = [](HostId) {};
+    callbacks.onRestarted = [this](HostId peer) { this->hooks.onPeerLost(peer); };
+    this->linkIncarnation = this->membership.own().incarnation;
+    this->link = std::make_unique<PeerLink>(
+            this->loop, settings.heartbeatAddress, this->membership.own().id, this->linkIncarnation,
+            KeyRing({ { 0, unkeyedSecret } }), std::move(callbacks));
     HttpServerOptions options;
     options.mostConnections = 64;
     this->server = HttpServer::listen(
@@ -110,7 +74,6 @@
 {
     *this->alive = false;
     this->loop.cancel(this->timer);
-    this->loop.remove(this->socket->socket);
 }
 
 std::string ViewExchange::viewAddressOf(const std::string &heartbeatAddress) const
@@ -158,28 +121,43 @@
     this->send(out);
 }
 
+void ViewExchange::sendMessage(HostId host, std::string payload)
+{
+    this->link->send(host, std::move(payload), messageLifetime);
+}
+
 void ViewExchange::send(std::vector<OutgoingHeartbeat> &out)
 {
-    for (const OutgoingHeartbeat &outgoing : out) {
-        const MemberInfo *member = this->membership.find(outgoing.to);
-        if (member != nullptr)
-            this->socket->send(this->keys.seal(FrameKind::Heartbeat, encode(outgoing.heartbeat)),
-                               member->address);
-    }
+    this->noteMembers();
+    for (const OutgoingHeartbeat &outgoing : out)
+        this->link->sendHeartbeat(outgoing.to, outgoing.heartbeat);
 }
 
-void ViewExchange::onDatagram(std::string_view bytes)
+void ViewExchange::noteMembers()
 {
-    const auto opened = this->keys.open(bytes);
-    if (!opened || opened->kind != FrameKind::Heartbeat)
-        return;
-    const auto heartbeat = decode<Heartbeat>(opened->body);
-    if (!heartbeat)
+    const Incarnation own = this->membership.own().incarnation;
+    if (own != this->linkIncarnation) {
+        this->linkIncarnation = own;
+        this->link->setIncarnation(own);
+    }
+    if (this->membership.changeCount() == this->seenChanges)
         return;
+    this->seenChanges = this->membership.changeCount();
+    std::vector<MemberInfo> alive;
+    for (const MemberInfo &member : this->membership.others()) {
+        this->link->setAddress(member.id, member.address);
+        if (member.state == MemberState::Alive || member.state == MemberState::Suspect)
+            alive.push_back(member);
+    }
+    this->hooks.peersChanged(alive);
+}
+
+void ViewExchange::onHeartbeat(const Heartbeat &heartbeat)
+{
     const Millis now = SteadyClock::now();
     this->membership.setRevision({ this->view.revision() });
     std::vector<OutgoingHeartbeat> out;
-    this->membership.onHeartbeat(*heartbeat, now, out);
+    this->membership.onHeartbeat(heartbeat, now, out);
     this->send(out);
     this->catchUp(now);
 }
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -1,20 +1,19 @@
 // How hosts hear of each other and take from each other what the store does not tell them.
 #pragma once
 
-#include "connection/frame.h"
 #include "connection/httpserver.h"
+#include "connection/peerlink.h"
 #include "process/eventloop.h"
 #include "process/gatewaysettings.h"
 #include "process/httpcall.h"
 #include "process/membership.h"
+#include "quetzal/steadyclock.h"
 #include "version/servingview.h"
 
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_map>
-
-#include <Poco/Net/DatagramSocket.h>
+#include <vector>
 
 namespace quetzal {
 
@@ -27,6 +26,12 @@
     std::function<void()> feedIsBehind;
     // The number of hosts that share budgets changed.
     std::function<void(std::uint32_t)> hostsChanged;
+    // The other hosts that are alive changed.
+    std::function<void(const std::vector<MemberInfo> &)> peersChanged;
+    // A message of another host's gateway arrived, once.
+    std::function<void(HostId, const std::string &)> onMessage;
+    // Another host restarted or does not acknowledge messages.
+    std::function<void(HostId)> onPeerLost;
 };
 
 // Sends and takes heartbeats that carry the revision of each host's view, answers other hosts'
@@ -49,10 +54,18 @@
     // Tells the others that this host stops.
     void leave();
 
-private:
-    class Socket;
+    // Sends a message to another host's gateway.
+    void sendMessage(HostId host, std::string payload);
+
+    // Returns the measured time of the way to a host and back.
+    Millis roundTripTo(HostId host) { return this->link->oneWayTime(host) * 2; }
 
-    void onDatagram(std::string_view bytes);
+    // The process did not run for a while.
+    void onPaused() { this->link->onPaused(SteadyClock::now()); }
+
+private:
+    void onHeartbeat(const Heartbeat &heartbeat);
+    void noteMembers();
     void send(std::vector<OutgoingHeartbeat> &out);
     void tick();
     void catchUp(Millis now);
@@ -67,9 +80,10 @@
     GatewaySettings settings;
     ServingView &view;
     ViewExchangeHooks hooks;
-    KeyRing keys;
     Membership membership;
-    std::shared_ptr<Socket> socket;
+    std::unique_ptr<PeerLink> link;
+    Incarnation linkIncarnation;
+    std::uint64_t seenChanges = 0;
     std::shared_ptr<HttpServer> server;
     TimerId timer = 0;
     // Since when some host has been ahead, and by how much it was then.
--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -6,6 +6,7 @@
 #include "request/recordmerge.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <sstream>
 
@@ -16,31 +17,27 @@
 static constexpr int statusBadGateway = 502;
 static constexpr int statusUnavailable = 503;
 static constexpr int statusGatewayTimeout = 504;
-static constexpr Millis sweepPeriod = Millis(50);
 // Time between the end of a request's work here and the caller's receipt of the answer.
 static constexpr Millis answerTransit = Millis(6);
-// Margin that keeps the sum of all hosts within the budget.
-static constexpr double budgetShare = 0.8;
-static constexpr std::uint32_t mostConnections = 2;
+// Time beyond the target for which a relay's answer that is on its way is awaited.
+static constexpr Millis relayMargin = Millis(2);
+// Time that two hosts need for a request and its answer besides the way.
+static constexpr Millis relayTransit = Millis(3);
+// Time beyond the target after which a relay is taken for lost.
+static constexpr Millis overdueAfter = Millis(60);
+// With less time left the missing parts are not asked for again.
+static constexpr Millis leastForAgain = Millis(20);
 static constexpr const char *retryAfterSeconds = "0.1";
 
 Gateway::Gateway(EventLoop &loop, Metrics &metrics, const Dialect &dialect, const ServingView &view,
-                 const GatewayOptions &options)
+                 ScatterHost &scatters, RelayDesk &relays)
     : loop(loop)
     , metrics(metrics)
     , dialect(dialect)
     , view(view)
-    , options(options)
-    , hosts(std::max(1U, options.assumedHosts))
-{
-    this->sweepTimer
-            = this->loop.schedule(SteadyClock::now() + sweepPeriod, [this] { this->sweep(); });
-}
-
-Gateway::~Gateway()
-{
-    this->loop.cancel(this->sweepTimer);
-}
+    , scatters(scatters)
+    , relays(relays)
+{}
 
 void Gateway::onRequest(const std::shared_ptr<HttpExchange> &exchange)
 {
@@ -65,15 +62,15 @@
 void Gateway::begin(const std::shared_ptr<HttpExchange> &exchange, const Route &route,
                     const CallerFields &fields, Millis now)
 {
+    const std::uint64_t number = ++this->lastNumber;
+    Running &entry = this->running[number];
     const Millis patience = fields.patience.value_or(route.deadline);
-    ScatterPlan plan;
-    plan.id = { ++this->lastQuery };
-    plan.merged = !route.shardPools.empty();
-    plan.repeatable = route.repeatable;
-    plan.target = now + route.target - answerTransit;
-    plan.deadline = now + std::min(patience - answerTransit, route.deadline);
-    plan.minCoverage = route.minCoverage;
-    plan.maxAttempts = std::max(1U, route.maxAttempts);
+    entry.exchange = exchange;
+    entry.tables = this->view.tables();
+    entry.route = &route;
+    entry.arrivedAt = now;
+    entry.target = now + route.target - answerTransit;
+    entry.deadline = now + std::min(patience - answerTransit, route.deadline);
     const auto request = std::make_shared<OutboundRequest>();
     request->method = exchange->request().head.getMethod();
     request->target = exchange->request().head.getURI();
@@ -81,45 +78,117 @@
     request->forwarded = fields.forwarded;
     request->body = exchange->request().body;
     request->repeatable = route.repeatable;
-    std::unique_ptr<RoutePace> &pace = this->paces[route.name];
-    if (!pace)
-        pace = std::make_unique<RoutePace>();
-    Running &entry = this->running[plan.id];
-    entry.scatter = std::make_unique<Scatter>(plan, this->poolsOf(route), *pace);
-    entry.exchange = exchange;
     entry.request = request;
-    entry.tables = this->view.tables();
-    entry.route = &route;
-    entry.pace = pace.get();
-    entry.arrivedAt = now;
-    entry.deadline = plan.deadline;
-    exchange->onGone([this, id = plan.id] { this->onCallerGone(id); });
-    ScatterActions actions;
-    entry.scatter->start(now, actions);
-    this->perform(plan.id, actions);
+    exchange->onGone([this, number] { this->onCallerGone(number); });
+    if (route.shardPools.empty())
+        this->beginSingle(number);
+    else
+        this->beginMerged(number);
 }
 
-std::shared_ptr<ShardPool> Gateway::pool(const std::string &name)
+ScatterPlan Gateway::planFor(const Running &entry) const
 {
-    std::shared_ptr<ShardPool> &found = this->pools[name];
-    if (!found) {
-        RetryWindowOptions budget = this->options.retries;
-        budget.ratio *= budgetShare;
-        budget.slack = budget.slack * budgetShare / this->hosts;
-        found = std::make_shared<ShardPool>(name, budget, stableHash(name, this->options.seed));
-    }
-    return found;
+    ScatterPlan plan;
+    plan.repeatable = entry.route->repeatable;
+    plan.target = entry.target;
+    plan.deadline = entry.deadline;
+    plan.minCoverage = entry.route->minCoverage;
+    plan.maxAttempts = std::max(1U, entry.route->maxAttempts);
+    return plan;
+}
+
+void Gateway::beginSingle(std::uint64_t number)
+{
+    const Running &entry = this->running.at(number);
+    ScatterStart start;
+    start.plan = this->planFor(entry);
+    start.plan.id = this->scatters.nextId();
+    const Route &route = *entry.route;
+    start.pools
+            = { this->scatters.pool(route.split.empty() ? route.pool : this->pickShare(route)) };
+    start.request = entry.request;
+    start.pace = &this->relays.pace(route.name);
+    start.done = [this, number](ScatterAnswer &&answer) {
+        this->respondSingle(number, std::move(answer));
+    };
+    Batch batch;
+    batch.id = start.plan.id;
+    this->running.at(number).batches.push_back(batch);
+    this->scatters.start(std::move(start));
 }
 
-std::vector<std::shared_ptr<ShardPool>> Gateway::poolsOf(const Route &route)
+void Gateway::beginMerged(std::uint64_t number)
 {
-    std::vector<std::shared_ptr<ShardPool>> result;
-    for (const std::string &name : route.shardPools)
-        result.push_back(this->pool(name));
-    if (!result.empty())
-        return result;
-    result.push_back(this->pool(route.split.empty() ? route.pool : this->pickShare(route)));
-    return result;
+    Running &entry = this->running.at(number);
+    entry.seals.resize(entry.route->shardPools.size());
+    const RelaySplit split = this->relays.split(*entry.route, SteadyClock::now());
+    ScatterPlan plan = this->planFor(entry);
+    plan.merged = true;
+    plan.isBatch = !split.shares.empty();
+    plan.mostMissing = entry.seals.size() - this->needed(entry);
+    entry.askedAgain = split.shares.empty();
+    // The timer comes first: a batch that ends at once may end the request.
+    if (plan.isBatch)
+        entry.timer = this->loop.schedule(entry.target + relayMargin,
+                                          [this, number] { this->onTarget(number); });
+    for (const RelayShare &share : split.shares)
+        this->askRelay(number, share);
+    if (!split.here.empty())
+        this->gatherHere(number, split.here, plan);
+}
+
+void Gateway::gatherHere(std::uint64_t number, std::vector<std::uint32_t> shards, ScatterPlan plan)
+{
+    const auto found = this->running.find(number);
+    if (found == this->running.end())
+        return;
+    Running &entry = found->second;
+    plan.id = this->scatters.nextId();
+    ScatterStart start;
+    start.plan = plan;
+    for (const std::uint32_t shard : shards)
+        start.pools.push_back(this->scatters.pool(entry.route->shardPools[shard]));
+    start.request = entry.request;
+    start.pace = &this->relays.pace(entry.route->name);
+    start.done = [this, number, id = plan.id](ScatterAnswer &&answer) {
+        this->onGathered(number, id, std::move(answer));
+    };
+    Batch batch;
+    batch.shards = std::move(shards);
+    batch.id = plan.id;
+    entry.batches.push_back(std::move(batch));
+    this->scatters.start(std::move(start));
+}
+
+void Gateway::askRelay(std::uint64_t number, const RelayShare &share)
+{
+    Running &entry = this->running.at(number);
+    const Millis now = SteadyClock::now();
+    RelayQuery query;
+    const QueryId id = this->scatters.nextId();
+    query.number = id.value;
+    query.tables = entry.tables->revision;
+    query.route = entry.route->name;
+    query.shards.assign(share.shards.begin(), share.shards.end());
+    query.method = entry.request->method;
+    query.target = entry.request->target;
+    query.requestId = entry.request->requestId;
+    query.forwarded = entry.request->forwarded;
+    query.body = entry.request->body;
+    // The answer is back at the target.
+    const Millis way = this->relays.roundTripTo(share.host) + relayTransit;
+    query.targetMs = (entry.target - now - way).count();
+    query.deadlineMs = (entry.deadline - now - way).count();
+    query.mostMissing = static_cast<std::uint16_t>(entry.seals.size() - this->needed(entry));
+    Batch batch;
+    batch.shards = share.shards;
+    batch.id = id;
+    batch.relayed = true;
+    entry.batches.push_back(std::move(batch));
+    this->relays.ask(share.host, query, entry.target + overdueAfter,
+                     [this, number, id](RelayResult &&result) {
+                         this->onRelayed(number, id, std::move(result));
+                     });
 }
 
 // Smooth weighted round robin: every run of requests keeps the shares.
@@ -142,169 +211,221 @@
     return route.split[best].pool;
 }
 
-Gateway::TargetPtr Gateway::targetOf(const TrackedSearcher &searcher) const
+void Gateway::takePart(Running &entry, std::uint32_t shard, const std::string &seal)
 {
-    const auto found = this->targets.find(searcher.registration().id);
-    if (found != this->targets.end() && found->second->searcher.get() == &searcher)
-        return found->second;
-    const auto old
-            = std::find_if(this->retired.begin(), this->retired.end(), [&](const TargetPtr &item) {
-                  return item->searcher.get() == &searcher;
-              });
-    return old != this->retired.end() ? *old : nullptr;
+    if (seal.empty() || !entry.seals[shard].empty())
+        return;
+    entry.seals[shard] = seal;
+    entry.got += 1;
 }
 
-void Gateway::perform(QueryId id, ScatterActions &actions)
+void Gateway::onGathered(std::uint64_t number, QueryId batchId, ScatterAnswer &&answer)
 {
-    const Millis now = SteadyClock::now();
-    const auto found = this->running.find(id);
+    const auto found = this->running.find(number);
     if (found == this->running.end())
         return;
     Running &entry = found->second;
-    // An attempt that is given up in the same event is never sent.
-    std::vector<std::pair<TargetPtr, std::uint32_t>> submits;
-    for (const ScatterSend &send : actions.send) {
-        const TargetPtr target = this->targetOf(*send.searcher);
-        entry.sent.emplace_back(target, now);
-        if (std::erase(actions.abandon, send.ordinal) > 0)
+    const auto batch = std::find_if(entry.batches.begin(), entry.batches.end(),
+                                    [&](const Batch &item) { return item.id == batchId; });
+    batch->open = false;
+    entry.sent += answer.sent;
+    entry.hedges += answer.hedges;
+    entry.retries += answer.retries;
+    entry.mayHaveRun = entry.mayHaveRun || answer.mayHaveRun;
+    if (answer.lastFailure)
+        entry.lastFailure = answer.lastFailure;
+    for (std::size_t i = 0; i < answer.replies.size(); ++i) {
+        const std::uint32_t shard = batch->shards[i];
+        if (!answer.replies[i] || !entry.seals[shard].empty())
             continue;
-        submits.emplace_back(target, send.ordinal);
-        this->metrics.add(send.extra ? Counter::Hedges : Counter::SubRequests);
-        if (target)
-            target->searcher->onSent({ id, send.ordinal }, send.typical, now);
-        if (send.extra && target)
-            logEvent(LogEvent::AttemptExtra,
-                     "id=" + entry.request->requestId + " pool=" + target->pool->name()
-                             + " searcher=" + send.searcher->registration().id
-                             + " budget_left=" + std::to_string(target->pool->budget().left(now)));
-    }
-    for (const std::uint32_t ordinal : actions.abandon) {
-        if (entry.sent[ordinal].first)
-            entry.sent[ordinal].first->link->abandon({ id, ordinal });
-    }
-    const auto request = entry.request;
-    const Millis deadline = entry.deadline;
-    if (actions.answer)
-        this->finish(id, std::move(*actions.answer));
-    else
-        this->armTimer(id);
-    // Submitting may end attempts at once, which comes back to this request.
-    for (const auto &[target, ordinal] : submits) {
-        if (target)
-            target->link->submit({ id, ordinal }, request, deadline);
-        else
-            this->onAttemptEnd(nullptr, { id, ordinal },
-                               { Verdict::NotRun, Fault::ConnectFailed, Hop::Entry }, {});
+        this->takePart(entry, shard, answer.replies[i]->seal);
+        entry.records.push_back(std::move(answer.replies[i]->body));
     }
+    if (answer.outcome.code == Fault::DeadlinePassed)
+        entry.lastFailure = answer.outcome.code;
+    this->finishIfDue(number);
 }
 
-void Gateway::onAttemptEnd(const TargetPtr &target, const AttemptId &id, const Outcome &outcome,
-                           SearcherReply &&reply)
+void Gateway::onRelayed(std::uint64_t number, QueryId batchId, RelayResult &&result)
 {
-    const Millis now = SteadyClock::now();
-    if (target)
-        target->searcher->onEnd(id, outcome, now);
-    const auto found = this->running.find(id.query);
+    const auto found = this->running.find(number);
     if (found == this->running.end())
         return;
     Running &entry = found->second;
-    if (outcome.succeeded() && id.ordinal < entry.sent.size())
-        entry.pace->add(now, now - entry.sent[id.ordinal].second);
-    if (outcome.code) {
-        std::ostringstream line;
-        line << "id=" << entry.request->requestId
-             << " searcher=" << (target ? target->searcher->registration().id : "none")
-             << " verdict=" << nameOf(outcome.verdict) << " code=" << outcome.code.message()
-             << " status=" << reply.status
-             << " ms=" << (now - entry.sent[id.ordinal].second).count();
-        logEvent(LogEvent::AttemptFailed, line.str());
+    const auto batch = std::find_if(entry.batches.begin(), entry.batches.end(),
+                                    [&](const Batch &item) { return item.id == batchId; });
+    batch->open = false;
+    const std::vector<std::uint32_t> shards = batch->shards;
+    if (!result.answer) {
+        // Nothing came, or the relay refused: gather the parts from here.
+        entry.mayHaveRun = entry.mayHaveRun || result.mayHaveRun;
+        if (SteadyClock::now() >= entry.target) {
+            this->finishIfDue(number);
+            return;
+        }
+        ScatterPlan plan = this->planFor(entry);
+        plan.merged = true;
+        plan.isBatch = true;
+        plan.mostMissing = entry.seals.size() - this->needed(entry);
+        plan.isRepeat = result.mayHaveRun;
+        this->gatherHere(number, shards, plan);
+        return;
+    }
+    const RelayAnswer &answer = *result.answer;
+    entry.mayHaveRun = entry.mayHaveRun || answer.mayHaveRun;
+    // Records are merged over all parts of the relay: they count together or not at all.
+    const bool fresh = std::all_of(shards.begin(), shards.end(),
+                                   [&](std::uint32_t shard) { return entry.seals[shard].empty(); });
+    if (fresh && answer.seals.size() == shards.size()) {
+        for (std::size_t i = 0; i < shards.size(); ++i)
+            this->takePart(entry, shards[i], answer.seals[i]);
+        entry.records.push_back(answer.records);
     }
-    ScatterActions actions;
-    entry.scatter->onEnd(now, id.ordinal, outcome, std::move(reply), actions);
-    this->perform(id.query, actions);
+    this->finishIfDue(number);
 }
 
-void Gateway::armTimer(QueryId id)
+std::size_t Gateway::needed(const Running &entry) const
 {
-    Running &entry = this->running.at(id);
-    const Millis next = entry.scatter->nextTimer();
-    if (next == entry.timerAt)
+    static constexpr double rounding = 1e-9;
+    const double exact = entry.route->minCoverage * static_cast<double>(entry.seals.size());
+    return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(exact - rounding)));
+}
+
+void Gateway::finishIfDue(std::uint64_t number)
+{
+    const Running &entry = this->running.at(number);
+    const bool open = std::any_of(entry.batches.begin(), entry.batches.end(),
+                                  [](const Batch &batch) { return batch.open; });
+    if (entry.got == entry.seals.size() || (!open && entry.got >= this->needed(entry))) {
+        this->respondMerged(number);
         return;
-    this->loop.cancel(entry.timer);
-    entry.timerAt = next;
-    entry.timer = this->loop.schedule(next, [this, id] { this->onTimer(id); });
+    }
+    // What no batch can bring any more is given up at once.
+    std::size_t pending = 0;
+    for (const Batch &batch : entry.batches) {
+        for (const std::uint32_t shard : batch.shards)
+            pending += batch.open && entry.seals[shard].empty() ? 1 : 0;
+    }
+    const bool outOfReach = entry.got + pending < this->needed(entry);
+    if (outOfReach && (entry.askedAgain || SteadyClock::now() < entry.target)) {
+        this->respondFailure(number);
+        return;
+    }
+    if (open) {
+        if (entry.askedAgain && SteadyClock::now() >= entry.target
+            && entry.got >= this->needed(entry))
+            this->respondMerged(number);
+        return;
+    }
+    if (!entry.askedAgain && entry.deadline - SteadyClock::now() > leastForAgain)
+        this->askAgain(number);
+    else
+        this->respondFailure(number);
 }
 
-void Gateway::onTimer(QueryId id)
+// The target has passed without enough parts: gathers the missing ones until there are enough.
+void Gateway::askAgain(std::uint64_t number)
 {
-    const auto found = this->running.find(id);
+    Running &entry = this->running.at(number);
+    entry.askedAgain = true;
+    std::vector<std::uint32_t> missing;
+    for (std::uint32_t shard = 0; shard < entry.seals.size(); ++shard) {
+        if (entry.seals[shard].empty())
+            missing.push_back(shard);
+    }
+    ScatterPlan plan = this->planFor(entry);
+    plan.merged = true;
+    plan.isRepeat = true;
+    plan.minCoverage = static_cast<double>(this->needed(entry) - entry.got)
+                       / static_cast<double>(missing.size());
+    this->gatherHere(number, std::move(missing), plan);
+}
+
+void Gateway::onTarget(std::uint64_t number)
+{
+    const auto found = this->running.find(number);
     if (found == this->running.end())
         return;
-    found->second.timerAt = Millis::never();
-    ScatterActions actions;
-    found->second.scatter->onTimer(SteadyClock::now(), actions);
-    this->perform(id, actions);
+    found->second.timer = 0;
+    if (found->second.got >= this->needed(found->second))
+        this->respondMerged(number);
+}
+
+void Gateway::abandonBatches(Running &entry)
+{
+    this->loop.cancel(entry.timer);
+    for (Batch &batch : entry.batches) {
+        if (!batch.open)
+            continue;
+        batch.open = false;
+        if (batch.relayed)
+            this->relays.withdraw(batch.id);
+        else
+            this->scatters.abandon(batch.id);
+    }
 }
 
-void Gateway::onCallerGone(QueryId id)
+void Gateway::onCallerGone(std::uint64_t number)
 {
-    const auto found = this->running.find(id);
+    const auto found = this->running.find(number);
     if (found == this->running.end())
         return;
     this->metrics.add(Counter::CallersGone);
-    ScatterActions actions;
-    found->second.scatter->onCallerGone(actions);
-    this->perform(id, actions);
-    this->loop.cancel(found->second.timer);
+    this->abandonBatches(found->second);
     logEvent(LogEvent::CallerGone, "id=" + found->second.request->requestId);
-    this->running.erase(id);
+    this->running.erase(number);
 }
 
-void Gateway::finish(QueryId id, ScatterAnswer &&answer)
+void Gateway::respondSingle(std::uint64_t number, ScatterAnswer &&answer)
 {
-    // The entry stays until the caller of this function is done with it.
-    auto node = this->running.extract(id);
-    Running &entry = node.mapped();
-    this->loop.cancel(entry.timer);
-    this->metrics.add(Timing::Query, SteadyClock::now() - entry.arrivedAt);
-    bool answered = false;
-    if (answer.outcome.succeeded() && !entry.route->shardPools.empty()) {
-        answered = this->respondMerged(entry, answer);
-    } else if (answer.replies.size() == 1 && answer.replies.front()) {
-        const SearcherReply &reply = *answer.replies.front();
-        entry.exchange->respond(reply.status, reply.fields, reply.body, "");
-        this->logRequest(entry, reply.status, answer);
-        answered = true;
+    const auto found = this->running.find(number);
+    if (found == this->running.end())
+        return;
+    Running &entry = found->second;
+    entry.sent = answer.sent;
+    entry.hedges = answer.hedges;
+    entry.retries = answer.retries;
+    entry.mayHaveRun = answer.outcome.verdict != Verdict::NotRun;
+    entry.lastFailure = answer.outcome.code;
+    if (answer.replies.empty() || !answer.replies.front()) {
+        this->respondFailure(number);
+        return;
     }
-    this->metrics.add(answered ? Counter::Answered : Counter::Failed);
-    if (answer.missing > 0 && answered)
-        this->metrics.add(Counter::Incomplete);
-    if (!answered)
-        this->respondFailure(entry, answer);
-    this->loop.post([kept = std::make_shared<decltype(node)>(std::move(node))] {});
+    const SearcherReply &reply = *answer.replies.front();
+    this->metrics.add(Counter::Answered);
+    this->metrics.add(Timing::Query, SteadyClock::now() - entry.arrivedAt);
+    entry.exchange->respond(reply.status, reply.fields, reply.body, "");
+    this->logEnd(entry, reply.status, 1);
+    this->running.erase(number);
 }
 
-bool Gateway::respondMerged(const Running &entry, const ScatterAnswer &answer)
+void Gateway::respondMerged(std::uint64_t number)
 {
+    Running &entry = this->running.at(number);
     std::vector<std::string_view> seals;
-    std::vector<std::string_view> bodies;
     std::set<std::string_view> seen;
-    for (const auto &reply : answer.replies) {
-        if (!reply || !seen.insert(reply->seal).second)
-            continue;
-        seals.push_back(reply->seal);
-        bodies.push_back(reply->body);
+    for (const std::string &seal : entry.seals) {
+        if (!seal.empty() && seen.insert(seal).second)
+            seals.push_back(seal);
     }
-    const std::size_t total = answer.replies.size();
-    static constexpr double rounding = 1e-9;
-    if (static_cast<double>(seals.size()) + rounding
-        < entry.route->minCoverage * static_cast<double>(total))
-        return false;
-    entry.exchange->respond(statusOk, this->dialect.partFields(seals, total - seals.size()),
-                            mergeRecords(bodies, entry.route->resultSize),
+    // A seal that comes twice makes it unsure which parts the records are of.
+    if (seals.size() != entry.got) {
+        entry.lastFailure = Fault::ReplyMismatch;
+        this->respondFailure(number);
+        return;
+    }
+    const std::size_t missing = entry.seals.size() - seals.size();
+    this->abandonBatches(entry);
+    this->metrics.add(Counter::Answered);
+    if (missing > 0)
+        this->metrics.add(Counter::Incomplete);
+    this->metrics.add(Timing::Query, SteadyClock::now() - entry.arrivedAt);
+    const std::vector<std::string_view> records(entry.records.begin(), entry.records.end());
+    entry.exchange->respond(statusOk, this->dialect.partFields(seals, missing),
+                            mergeRecords(records, entry.route->resultSize),
                             "application/octet-stream");
-    this->logRequest(entry, statusOk, answer);
-    return true;
+    this->logEnd(entry, statusOk, seals.size());
+    this->running.erase(number);
 }
 
 static std::string failureBody(const std::error_code &code, Verdict verdict)
@@ -313,19 +434,25 @@
            + "\"}";
 }
 
-void Gateway::respondFailure(const Running &entry, const ScatterAnswer &answer)
+void Gateway::respondFailure(std::uint64_t number)
 {
+    Running &entry = this->running.at(number);
+    this->abandonBatches(entry);
+    this->metrics.add(Counter::Failed);
     const std::error_code code
-            = answer.outcome.code ? answer.outcome.code : make_error_code(Fault::BelowCoverage);
-    const std::string body = failureBody(code, answer.outcome.verdict);
-    if (answer.outcome.verdict == Verdict::NotRun) {
-        entry.exchange->respond(statusUnavailable, { { "Retry-After", retryAfterSeconds } }, body);
-        this->logRequest(entry, statusUnavailable, answer);
-        return;
+            = entry.lastFailure ? entry.lastFailure : make_error_code(Fault::BelowCoverage);
+    int status = statusUnavailable;
+    std::vector<HttpField> fields = { { "Retry-After", retryAfterSeconds } };
+    if (entry.mayHaveRun) {
+        const bool late = code == Fault::DeadlinePassed || SteadyClock::now() >= entry.deadline;
+        status = late ? statusGatewayTimeout : statusBadGateway;
+        fields.clear();
     }
-    const int status = code == Fault::DeadlinePassed ? statusGatewayTimeout : statusBadGateway;
-    entry.exchange->respond(status, {}, body);
-    this->logRequest(entry, status, answer);
+    entry.exchange->respond(
+            status, fields,
+            failureBody(code, entry.mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun));
+    this->logEnd(entry, status, entry.got);
+    this->running.erase(number);
 }
 
 void Gateway::refuse(HttpExchange &exchange, int status, Fault fault, const CallerFields &fields)
@@ -341,137 +468,18 @@
                      + " tables=" + std::to_string(this->view.tablesRevision().value));
 }
 
-void Gateway::logRequest(const Running &entry, int status, const ScatterAnswer &answer) const
+void Gateway::logEnd(const Running &entry, int status, std::size_t parts) const
 {
     std::ostringstream line;
     line << "id=" << entry.request->requestId << " route=" << entry.route->name
-         << " status=" << status << " verdict=" << nameOf(answer.outcome.verdict);
-    if (answer.outcome.code)
-        line << " code=" << answer.outcome.code.message();
-    line << " parts=" << answer.replies.size() - answer.missing << "/" << answer.replies.size()
-         << " sent=" << answer.sent << " hedges=" << answer.hedges << " retries=" << answer.retries
+         << " status=" << status
+         << " code=" << (entry.lastFailure ? entry.lastFailure.message() : "none")
+         << " parts=" << parts << "/" << std::max<std::size_t>(1, entry.seals.size())
+         << " batches=" << entry.batches.size() << " sent=" << entry.sent
+         << " hedges=" << entry.hedges << " retries=" << entry.retries
          << " ms=" << (SteadyClock::now() - entry.arrivedAt).count()
          << " tables=" << entry.tables->revision.value << " directory=" << this->view.revision();
     logEvent(LogEvent::RequestEnded, line.str());
 }
 
-Gateway::TargetPtr Gateway::makeTarget(const DirectoryRecord &record, Millis now)
-{
-    const DirectoryEntry &entry = record.entry;
-    const auto target = std::make_shared<Target>();
-    const Millis distance
-            = entry.zone == this->options.zone ? Millis(0) : this->options.zoneDistance;
-    target->searcher = std::make_shared<TrackedSearcher>(entry, distance, now);
-    target->pool = this->pool(entry.pool);
-    SearcherLinkCallbacks callbacks;
-    const std::weak_ptr<Target> weak = target;
-    callbacks.onEnd
-            = [this, weak](const AttemptId &id, const Outcome &outcome, SearcherReply &&reply) {
-                  this->onAttemptEnd(weak.lock(), id, outcome, std::move(reply));
-              };
-    callbacks.onLoad = [weak](const LoadReport &report) {
-        if (const auto held = weak.lock())
-            held->searcher->onLoad(report, SteadyClock::now());
-    };
-    target->link = std::make_shared<SearcherLink>(this->loop, this->metrics, this->dialect,
-                                                  entry.id, entry.address, std::move(callbacks));
-    this->applyLimits(*target);
-    target->pool->add(target->searcher);
-    return target;
-}
-
-void Gateway::applyLimits(Target &target) const
-{
-    std::uint32_t cap = mostConnections;
-    if (this->view.tables()) {
-        const Pool *pool = this->view.tables()->pool(target.pool->name());
-        if (pool != nullptr)
-            cap = std::max(1U, pool->connectionCap / this->hosts);
-    }
-    cap = std::min(cap, mostConnections);
-    target.searcher->setConnectionLimit(cap);
-    target.link->setConnectionLimit(cap);
-}
-
-void Gateway::onView()
-{
-    const Millis now = SteadyClock::now();
-    for (const auto &[id, record] : this->view.directory().records()) {
-        const auto found = this->targets.find(id);
-        const bool ended = record.entry.state == SearcherState::Gone;
-        if (found == this->targets.end()) {
-            if (ended || now >= this->view.lastUse(record))
-                continue;
-            this->targets[id] = this->makeTarget(record, now);
-            logEvent(LogEvent::SearcherRegistered,
-                     "searcher=" + id + " address=" + record.entry.address
-                             + " pool=" + record.entry.pool
-                             + " revision=" + std::to_string(record.entry.revision));
-            continue;
-        }
-        TargetPtr &target = found->second;
-        const DirectoryEntry &known = target->searcher->registration();
-        if (!known.isSameLife(record.entry) && !ended) {
-            target->pool->remove(*target->searcher);
-            target->link->retire();
-            this->retired.push_back(target);
-            target = this->makeTarget(record, now);
-        }
-        if (known.state != record.entry.state)
-            logEvent(LogEvent::SearcherState,
-                     "searcher=" + id + " state="
-                             + std::string(searcherStateNames[static_cast<std::size_t>(
-                                     record.entry.state)])
-                             + " revision=" + std::to_string(record.entry.revision));
-        target->searcher->update(record.entry, this->view.lastUse(record));
-    }
-    for (const auto &[id, target] : this->targets)
-        this->applyLimits(*target);
-}
-
-void Gateway::setHosts(std::uint32_t count)
-{
-    if (count == this->hosts || count == 0)
-        return;
-    this->hosts = count;
-    RetryWindowOptions budget = this->options.retries;
-    budget.ratio *= budgetShare;
-    budget.slack = budget.slack * budgetShare / this->hosts;
-    for (const auto &[name, pool] : this->pools)
-        pool->budget().setOptions(budget);
-    for (const auto &[id, target] : this->targets)
-        this->applyLimits(*target);
-}
-
-void Gateway::sweep()
-{
-    const Millis now = SteadyClock::now();
-    for (auto item = this->targets.begin(); item != this->targets.end();) {
-        const TargetPtr target = item->second;
-        target->link->sweep(now);
-        // One whose address was taken over stays known, so that it is not begun anew.
-        const bool left = target->searcher->registration().state != SearcherState::Ready;
-        if (left && target->searcher->availability(now) == Availability::Closed) {
-            target->link->retire();
-            target->pool->remove(*target->searcher);
-            this->retired.push_back(target);
-            item = this->targets.erase(item);
-        } else {
-            ++item;
-        }
-    }
-    for (const TargetPtr &target : std::vector<TargetPtr>(this->retired))
-        target->link->sweep(now);
-    std::erase_if(this->retired, [](const TargetPtr &target) {
-        return target->link->isIdle() && target->searcher->openAttempts() == 0;
-    });
-    this->sweepTimer = this->loop.schedule(now + sweepPeriod, [this] { this->sweep(); });
-}
-
-void Gateway::onPaused()
-{
-    for (const auto &[id, target] : std::map<std::string, TargetPtr, std::less<>>(this->targets))
-        target->link->expireWaiting();
-}
-
 } // namespace quetzal
--- a/src/request/gateway.h
+++ b/src/request/gateway.h
@@ -1,85 +1,65 @@
-// Callers' requests on registered searchers, from the door to the answer, on one loop.
+// Callers' requests from the door to the answer, on one loop.
 #pragma once
 
 #include "connection/dialect.h"
 #include "connection/httpserver.h"
-#include "connection/searcherlink.h"
-#include "process/eventloop.h"
-#include "process/metrics.h"
-#include "quetzal/fault.h"
-#include "request/scatter.h"
-#include "request/shardpool.h"
-#include "version/servingview.h"
+#include "request/relaydesk.h"
+#include "request/scatterhost.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace quetzal {
 
-// What a gateway is given.
-struct GatewayOptions
-{
-    std::string host;
-    std::string zone;
-    // Cost of the way to another zone and back.
-    Millis zoneDistance = Millis(8);
-    // Extra attempts that all hosts together may add to a pool.
-    RetryWindowOptions retries;
-    // Hosts that share the budget and the searchers' connections until others are known.
-    std::uint32_t assumedHosts = 11;
-    std::uint64_t seed = 0;
-};
-
-// Runs the requests of one loop. Used on its thread only.
+// Matches requests to routes, has their parts gathered here and by relays, merges and answers.
 class Gateway
 {
 public:
     Gateway(EventLoop &loop, Metrics &metrics, const Dialect &dialect, const ServingView &view,
-            const GatewayOptions &options);
-    ~Gateway();
-    Gateway(const Gateway &) = delete;
-    Gateway &operator=(const Gateway &) = delete;
+            ScatterHost &scatters, RelayDesk &relays);
 
     // Takes a caller's request.
     void onRequest(const std::shared_ptr<HttpExchange> &exchange);
 
-    // The view changed.
-    void onView();
-
-    // Sets how many hosts share the budget and the searchers' connections.
-    void setHosts(std::uint32_t count);
-
-    // This process did not run for a while: what waited is expired.
-    void onPaused();
-
     std::size_t runningRequests() const { return this->running.size(); }
 
 private:
-    struct Target
+    // Some parts of a request that are gathered together.
+    struct Batch
     {
-        std::shared_ptr<TrackedSearcher> searcher;
-        std::shared_ptr<SearcherLink> link;
-        std::shared_ptr<ShardPool> pool;
+        std::vector<std::uint32_t> shards;
+        // The number under which they are gathered, here or by a relay.
+        QueryId id;
+        bool relayed = false;
+        bool open = true;
     };
-    using TargetPtr = std::shared_ptr<Target>;
 
     struct Running
     {
-        std::unique_ptr<Scatter> scatter;
         std::shared_ptr<HttpExchange> exchange;
         std::shared_ptr<const OutboundRequest> request;
         std::shared_ptr<const Tables> tables;
         const Route *route = nullptr;
-        RoutePace *pace = nullptr;
         Millis arrivedAt;
+        Millis target;
         Millis deadline;
-        // Links that the attempts were sent on, and when, by ordinal.
-        std::vector<std::pair<TargetPtr, Millis>> sent;
+        std::vector<Batch> batches;
+        // By position in the route's list of pools; empty where the part is missing.
+        std::vector<std::string> seals;
+        // Records of parts, merged or not.
+        std::vector<std::string> records;
+        std::size_t got = 0;
+        bool mayHaveRun = false;
+        std::error_code lastFailure;
+        // What was missing at the target has been asked for once more.
+        bool askedAgain = false;
+        std::uint32_t sent = 0;
+        std::uint32_t hedges = 0;
+        std::uint32_t retries = 0;
         TimerId timer = 0;
-        Millis timerAt = Millis::never();
     };
 
     struct SplitState
@@ -90,40 +70,36 @@
 
     void begin(const std::shared_ptr<HttpExchange> &exchange, const Route &route,
                const CallerFields &fields, Millis now);
-    std::vector<std::shared_ptr<ShardPool>> poolsOf(const Route &route);
-    std::shared_ptr<ShardPool> pool(const std::string &name);
+    void beginSingle(std::uint64_t number);
+    void beginMerged(std::uint64_t number);
+    void gatherHere(std::uint64_t number, std::vector<std::uint32_t> shards, ScatterPlan plan);
+    void askRelay(std::uint64_t number, const RelayShare &share);
+    ScatterPlan planFor(const Running &entry) const;
     const std::string &pickShare(const Route &route);
-    TargetPtr targetOf(const TrackedSearcher &searcher) const;
-    void perform(QueryId id, ScatterActions &actions);
-    void onAttemptEnd(const TargetPtr &target, const AttemptId &id, const Outcome &outcome,
-                      SearcherReply &&reply);
-    void armTimer(QueryId id);
-    void onTimer(QueryId id);
-    void onCallerGone(QueryId id);
-    void finish(QueryId id, ScatterAnswer &&answer);
-    bool respondMerged(const Running &entry, const ScatterAnswer &answer);
-    void respondFailure(const Running &entry, const ScatterAnswer &answer);
+    void onGathered(std::uint64_t number, QueryId batch, ScatterAnswer &&answer);
+    void onRelayed(std::uint64_t number, QueryId batch, RelayResult &&result);
+    void takePart(Running &entry, std::uint32_t shard, const std::string &seal);
+    void finishIfDue(std::uint64_t number);
+    void askAgain(std::uint64_t number);
+    std::size_t needed(const Running &entry) const;
+    void onTarget(std::uint64_t number);
+    void onCallerGone(std::uint64_t number);
+    void abandonBatches(Running &entry);
+    void respondSingle(std::uint64_t number, ScatterAnswer &&answer);
+    void respondMerged(std::uint64_t number);
+    void respondFailure(std::uint64_t number);
     void refuse(HttpExchange &exchange, int status, Fault fault, const CallerFields &fields);
-    void logRequest(const Running &entry, int status, const ScatterAnswer &answer) const;
-    TargetPtr makeTarget(const DirectoryRecord &record, Millis now);
-    void applyLimits(Target &target) const;
-    void sweep();
+    void logEnd(const Running &entry, int status, std::size_t parts) const;
 
     EventLoop &loop;
     Metrics &metrics;
     const Dialect &dialect;
     const ServingView &view;
-    GatewayOptions options;
-    std::uint32_t hosts;
-    std::uint64_t lastQuery = 0;
-    std::unordered_map<QueryId, Running> running;
-    std::map<std::string, std::shared_ptr<ShardPool>, std::less<>> pools;
-    std::map<std::string, std::unique_ptr<RoutePace>, std::less<>> paces;
+    ScatterHost &scatters;
+    RelayDesk &relays;
+    std::uint64_t lastNumber = 0;
+    std::unordered_map<std::uint64_t, Running> running;
     std::map<std::string, SplitState, std::less<>> splits;
-    std::map<std::string, TargetPtr, std::less<>> targets;
-    // Earlier lives, until their connections are closed.
-    std::vector<TargetPtr> retired;
-    TimerId sweepTimer = 0;
 };
 
 } // namespace quetzal
--- /dev/null
+++ b/src/request/relayboard.h
@@ -0,0 +1,64 @@
+// Which other host answers a request whose searchers are far from this one.
+#pragma once
+
+#include "quetzal/ids.h"
+#include "quetzal/millis.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace quetzal {
+
+// A host that may be asked.
+struct RelayPeer
+{
+    HostId id;
+    std::string zone;
+};
+
+// Keeps what this host has seen of the others as relays, and chooses among them.
+//
+// A host that owes an answer for longer than it had to is not asked until it answers again, or for
+// avoidTime.
+class RelayBoard
+{
+public:
+    explicit RelayBoard(std::uint64_t seed)
+        : random(seed)
+    {}
+
+    // Sets the hosts that are alive now.
+    void setPeers(std::vector<RelayPeer> peers);
+
+    // Returns a host in one of the zones, or nothing if none may be asked.
+    std::optional<HostId> choose(const std::set<std::string> &zones, Millis now);
+
+    // Records a request that was sent, and its end.
+    void onSent(HostId host);
+    void onAnswer(HostId host, Millis latency);
+    void onWithdrawn(HostId host);
+
+    // The host did not answer in time, or its messages stay unacknowledged.
+    void onOverdue(HostId host, Millis now);
+
+    static constexpr Millis avoidTime = Millis(2000);
+
+private:
+    struct Record
+    {
+        int open = 0;
+        double latency = 0;
+        Millis avoidUntil;
+    };
+
+    std::minstd_rand random;
+    std::vector<RelayPeer> peers;
+    std::map<HostId, Record> records;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/src/request/relaydesk.cpp
@@ -0,0 +1,256 @@
+#include "request/relaydesk.h"
+
+#include "process/eventlog.h"
+#include "quetzal/fault.h"
+#include "quetzal/steadyclock.h"
+#include "request/recordmerge.h"
+
+#include <algorithm>
+
+namespace quetzal {
+
+// Fewer parts than this are cheaper to gather from afar.
+static constexpr std::size_t leastShare = 2;
+
+RelayDesk::RelayDesk(EventLoop &loop, const ServingView &view, ScatterHost &scatters,
+                     std::string zone, std::uint64_t seed)
+    : loop(loop)
+    , view(view)
+    , scatters(scatters)
+    , zone(std::move(zone))
+    , board(seed)
+{}
+
+RoutePace &RelayDesk::pace(const std::string &route)
+{
+    std::unique_ptr<RoutePace> &found = this->paces[route];
+    if (!found)
+        found = std::make_unique<RoutePace>();
+    return *found;
+}
+
+const std::set<std::string> &RelayDesk::zonesOf(const std::string &pool)
+{
+    const auto known = this->zonesOfPool.find(pool);
+    if (known != this->zonesOfPool.end())
+        return known->second;
+    std::set<std::string> &zones = this->zonesOfPool[pool];
+    for (const auto &searcher : this->scatters.pool(pool)->searchers()) {
+        if (searcher->registration().state == SearcherState::Ready)
+            zones.insert(searcher->registration().zone);
+    }
+    return zones;
+}
+
+RelaySplit RelayDesk::split(const Route &route, Millis now)
+{
+    RelaySplit result;
+    std::map<std::string, std::vector<std::uint32_t>> byZone;
+    std::set<std::uint32_t> far;
+    for (std::uint32_t shard = 0; shard < route.shardPools.size(); ++shard) {
+        const std::set<std::string> &zones = this->zonesOf(route.shardPools[shard]);
+        if (!this->send || !route.repeatable || zones.empty() || zones.contains(this->zone)) {
+            result.here.push_back(shard);
+            continue;
+        }
+        far.insert(shard);
+        for (const std::string &name : zones)
+            byZone[name].push_back(shard);
+    }
+    while (!far.empty() && !byZone.empty()) {
+        const auto widest
+                = std::max_element(byZone.begin(), byZone.end(), [](const auto &a, const auto &b) {
+                      return a.second.size() < b.second.size();
+                  });
+        const std::vector<std::uint32_t> shards = widest->second;
+        if (shards.size() < leastShare)
+            break;
+        const std::optional<HostId> host = this->board.choose({ widest->first }, now);
+        byZone.erase(widest);
+        if (!host)
+            continue;
+        result.shares.push_back({ *host, shards });
+        for (const std::uint32_t shard : shards)
+            far.erase(shard);
+        for (auto &[name, rest] : byZone)
+            std::erase_if(rest, [&](std::uint32_t shard) { return !far.contains(shard); });
+    }
+    result.here.insert(result.here.end(), far.begin(), far.end());
+    return result;
+}
+
+void RelayDesk::ask(HostId host, const RelayQuery &query, Millis due,
+                    std::function<void(RelayResult &&)> done)
+{
+    const QueryId id = { query.number };
+    Asked &entry = this->asked[id];
+    entry.host = host;
+    entry.sentAt = SteadyClock::now();
+    entry.done = std::move(done);
+    entry.timer = this->loop.schedule(due, [this, id] {
+        const auto found = this->asked.find(id);
+        if (found == this->asked.end())
+            return;
+        this->board.onOverdue(found->second.host, SteadyClock::now());
+        this->giveUp(id, true);
+    });
+    this->board.onSent(host);
+    this->send(host, packRelay(RelayKind::Query, query));
+}
+
+void RelayDesk::giveUp(QueryId id, bool mayHaveRun)
+{
+    auto node = this->asked.extract(id);
+    const Asked &entry = node.mapped();
+    this->loop.cancel(entry.timer);
+    this->board.onWithdrawn(entry.host);
+    logEvent(LogEvent::RelayFallBack,
+             "relay=" + std::to_string(entry.host.value) + " number=" + std::to_string(id.value)
+                     + " ms=" + std::to_string((SteadyClock::now() - entry.sentAt).count()));
+    if (mayHaveRun)
+        this->send(entry.host, packRelay(RelayKind::Cancel, RelayCancel{ id.value }));
+    RelayResult result;
+    result.mayHaveRun = mayHaveRun;
+    entry.done(std::move(result));
+}
+
+void RelayDesk::withdraw(QueryId id)
+{
+    const auto node = this->asked.extract(id);
+    if (node.empty())
+        return;
+    this->loop.cancel(node.mapped().timer);
+    this->board.onWithdrawn(node.mapped().host);
+    this->send(node.mapped().host, packRelay(RelayKind::Cancel, RelayCancel{ id.value }));
+}
+
+void RelayDesk::onPeerLost(HostId host)
+{
+    this->board.onOverdue(host, SteadyClock::now());
+    std::vector<QueryId> lost;
+    for (const auto &[id, entry] : this->asked) {
+        if (entry.host == host)
+            lost.push_back(id);
+    }
+    for (const QueryId id : lost) {
+        if (this->asked.contains(id))
+            this->giveUp(id, true);
+    }
+}
+
+void RelayDesk::onMessage(HostId from, const std::string &payload)
+{
+    if (payload.empty())
+        return;
+    const std::string body = payload.substr(1);
+    switch (static_cast<RelayKind>(payload.front())) {
+    case RelayKind::Query:
+        if (const auto query = decode<RelayQuery>(body))
+            this->onQuery(from, *query);
+        break;
+    case RelayKind::Answer:
+        if (auto answer = decode<RelayAnswer>(body))
+            this->onAnswer(from, std::move(*answer));
+        break;
+    case RelayKind::Cancel:
+        if (const auto cancel = decode<RelayCancel>(body))
+            this->onCancel(from, *cancel);
+        break;
+    }
+}
+
+void RelayDesk::answer(HostId to, const RelayAnswer &answer)
+{
+    this->send(to, packRelay(RelayKind::Answer, answer));
+}
+
+void RelayDesk::onQuery(HostId from, const RelayQuery &query)
+{
+    RelayAnswer refusal;
+    refusal.number = query.number;
+    const auto &tables = this->view.tables();
+    // Parts by other tables would make the asking host go back and forth between revisions.
+    if (this->stopping || !tables || tables->revision != query.tables) {
+        refusal.refused = Fault::VersionMissing;
+        this->answer(from, refusal);
+        return;
+    }
+    const auto route = std::find_if(tables->routes.begin(), tables->routes.end(),
+                                    [&](const Route &item) { return item.name == query.route; });
+    const bool known
+            = route != tables->routes.end()
+              && std::all_of(query.shards.begin(), query.shards.end(),
+                             [&](std::uint16_t shard) { return shard < route->shardPools.size(); });
+    if (!known) {
+        refusal.refused = Fault::NoRoute;
+        this->answer(from, refusal);
+        return;
+    }
+    const Millis now = SteadyClock::now();
+    ScatterStart start;
+    start.plan.id = this->scatters.nextId();
+    start.plan.merged = true;
+    start.plan.repeatable = route->repeatable;
+    start.plan.isBatch = true;
+    start.plan.mostMissing = query.mostMissing;
+    start.plan.target = now + Millis(query.targetMs);
+    start.plan.deadline = now + Millis(query.deadlineMs);
+    start.plan.maxAttempts = std::max(1U, route->maxAttempts);
+    for (const std::uint16_t shard : query.shards)
+        start.pools.push_back(this->scatters.pool(route->shardPools[shard]));
+    const auto request = std::make_shared<OutboundRequest>();
+    request->method = query.method;
+    request->target = query.target;
+    request->requestId = query.requestId;
+    request->forwarded = query.forwarded;
+    request->body = query.body;
+    request->repeatable = route->repeatable;
+    start.request = request;
+    start.pace = &this->pace(route->name);
+    const std::pair<HostId, std::uint64_t> key = { from, query.number };
+    const std::uint32_t limit = route->resultSize;
+    start.done = [this, key, limit](ScatterAnswer &&gathered) {
+        this->gathering.erase(key);
+        RelayAnswer result;
+        result.number = key.second;
+        result.mayHaveRun = gathered.mayHaveRun;
+        std::vector<std::string_view> bodies;
+        for (const auto &reply : gathered.replies) {
+            result.seals.push_back(reply ? reply->seal : std::string());
+            if (reply)
+                bodies.push_back(reply->body);
+        }
+        result.records = mergeRecords(bodies, limit);
+        this->answer(key.first, result);
+    };
+    this->gathering[key] = start.plan.id;
+    this->scatters.start(std::move(start));
+}
+
+void RelayDesk::onAnswer(HostId from, RelayAnswer &&answer)
+{
+    const auto found = this->asked.find({ answer.number });
+    if (found == this->asked.end() || found->second.host != from)
+        return;
+    if (answer.refused != Fault::None) {
+        this->giveUp({ answer.number }, false);
+        return;
+    }
+    const auto node = this->asked.extract(found);
+    this->loop.cancel(node.mapped().timer);
+    this->board.onAnswer(from, SteadyClock::now() - node.mapped().sentAt);
+    RelayResult result;
+    result.answer = std::move(answer);
+    node.mapped().done(std::move(result));
+}
+
+void RelayDesk::onCancel(HostId from, const RelayCancel &cancel)
+{
+    const auto found = this->gathering.find({ from, cancel.number });
+    if (found == this->gathering.end())
+        return;
+    this->scatters.abandon(found->second);
+    this->gathering.erase(found);
+}
+
+} // namespace quetzal
--- a/src/request/scatter.cpp
+++ b/src/request/scatter.cpp
@@ -35,6 +35,8 @@
 
 std::size_t Scatter::needed() const
 {
+    if (this->plan.isBatch)
+        return this->shards.size() - std::min(this->shards.size(), this->plan.mostMissing);
     if (!this->plan.merged)
         return this->shards.size();
     static constexpr double rounding = 1e-9;
@@ -46,8 +48,13 @@
 {
     for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
         ShardPool &pool = *this->pools[shard];
-        pool.budget().onRequest(now);
-        const auto searcher = pool.choose({}, this->pace.typical(), now, true);
+        if (!this->plan.isRepeat)
+            pool.budget().onRequest(now);
+        auto searcher = pool.choose({}, this->pace.typical(), now, true);
+        // Which searchers had the request already is not known.
+        const bool bounded = pool.searchers().size() <= this->plan.maxAttempts;
+        if (this->plan.isRepeat && (!bounded || !pool.budget().trySpend(now)))
+            searcher.reset();
         if (!searcher || !this->launch(shard, searcher, false, now, out)) {
             this->lastFailure = Fault::PoolEmpty;
             this->giveUp(shard);
@@ -256,6 +263,10 @@
     answer.sent = static_cast<std::uint32_t>(this->attempts.size());
     answer.hedges = this->hedges;
     answer.retries = this->retries;
+    answer.mayHaveRun = this->mayHaveRun
+                        || std::any_of(this->attempts.begin(), this->attempts.end(),
+                                       [](const AttemptState &item) { return item.open; });
+    answer.lastFailure = this->lastFailure;
     for (ShardState &state : this->shards)
         answer.replies.push_back(std::move(state.reply));
     answer.missing = this->shards.size() - this->answered;
--- a/src/request/scatter.h
+++ b/src/request/scatter.h
@@ -26,6 +26,13 @@
     double minCoverage = 1;
     // Searchers that the request may be sent to, for each pool.
     std::uint32_t maxAttempts = 1;
+    // The searchers may have got this request from another host already: the first attempts take
+    // from the budgets too.
+    bool isRepeat = false;
+    // These are some of a request's parts. The answer holds what is in, also when it fails; it
+    // comes at the target if no more than mostMissing parts lack, and at once if more must.
+    bool isBatch = false;
+    std::size_t mostMissing = 0;
 };
 
 // An attempt to send now.
@@ -47,6 +54,10 @@
     std::uint32_t sent = 0;
     std::uint32_t hedges = 0;
     std::uint32_t retries = 0;
+    // True if some attempt ran or may have run.
+    bool mayHaveRun = false;
+    // Why the latest part is missing.
+    std::error_code lastFailure;
 };
 
 // What a request wants done after an event.
--- /dev/null
+++ b/src/request/scatterhost.h
@@ -0,0 +1,130 @@
+// Runs requests on registered searchers: their pools, links and timers, on one loop.
+#pragma once
+
+#include "connection/dialect.h"
+#include "connection/searcherlink.h"
+#include "process/eventloop.h"
+#include "process/metrics.h"
+#include "request/scatter.h"
+#include "request/shardpool.h"
+#include "version/servingview.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace quetzal {
+
+// What a scatter host is given.
+struct ScatterHostOptions
+{
+    std::string zone;
+    // Cost of the way to another zone and back.
+    Millis zoneDistance = Millis(8);
+    // Extra attempts that all hosts together may add to a pool.
+    RetryWindowOptions retries;
+    // Hosts that share the budget and the searchers' connections until others are known.
+    std::uint32_t assumedHosts = 11;
+    std::uint64_t seed = 0;
+};
+
+// A request to run.
+struct ScatterStart
+{
+    ScatterPlan plan;
+    std::vector<std::shared_ptr<ShardPool>> pools;
+    std::shared_ptr<const OutboundRequest> request;
+    RoutePace *pace = nullptr;
+    // Takes the answer, once; perhaps before start returns.
+    std::function<void(ScatterAnswer &&)> done;
+};
+
+// Follows the view: a searcher for each life of a registration, with its link and its pool.
+class ScatterHost
+{
+public:
+    ScatterHost(EventLoop &loop, Metrics &metrics, const Dialect &dialect, const ServingView &view,
+                const ScatterHostOptions &options);
+    ~ScatterHost();
+    ScatterHost(const ScatterHost &) = delete;
+    ScatterHost &operator=(const ScatterHost &) = delete;
+
+    // Returns a number that no other request of this or an earlier life has.
+    QueryId nextId() { return { ++this->lastQuery }; }
+
+    // Runs a request under the plan's number.
+    void start(ScatterStart &&request);
+
+    // Nobody waits for a request any more; its answer is not told.
+    void abandon(QueryId id);
+
+    // Returns the pool of a name; made if it is new.
+    std::shared_ptr<ShardPool> pool(const std::string &name);
+
+    // The view changed.
+    void onView();
+
+    // Sets how many hosts share the budget and the searchers' connections.
+    void setHosts(std::uint32_t count);
+
+    // This process did not run for a while: what waited is expired.
+    void onPaused();
+
+    std::size_t running() const { return this->requests.size(); }
+
+private:
+    struct Target
+    {
+        std::shared_ptr<TrackedSearcher> searcher;
+        std::shared_ptr<SearcherLink> link;
+        std::shared_ptr<ShardPool> pool;
+    };
+    using TargetPtr = std::shared_ptr<Target>;
+
+    struct Running
+    {
+        std::unique_ptr<Scatter> scatter;
+        std::shared_ptr<const OutboundRequest> request;
+        RoutePace *pace = nullptr;
+        Millis deadline;
+        std::function<void(ScatterAnswer &&)> done;
+        // Links that the attempts were sent on, and when, by ordinal.
+        std::vector<std::pair<TargetPtr, Millis>> sent;
+        TimerId timer = 0;
+        Millis timerAt = Millis::never();
+    };
+
+    TargetPtr targetOf(const TrackedSearcher &searcher) const;
+    void perform(QueryId id, ScatterActions &actions);
+    void recordSend(QueryId id, const ScatterSend &send, const TargetPtr &target, Millis now);
+    void onAttemptEnd(const TargetPtr &target, const AttemptId &id, const Outcome &outcome,
+                      SearcherReply &&reply);
+    void armTimer(QueryId id);
+    void onTimer(QueryId id);
+    void finish(QueryId id, ScatterAnswer &&answer);
+    TargetPtr makeTarget(const DirectoryRecord &record, Millis now);
+    void takeRecord(const DirectoryRecord &record, Millis now);
+    void retire(const TargetPtr &target);
+    void applyLimits(Target &target) const;
+    RetryWindowOptions ownBudget() const;
+    void sweep();
+
+    EventLoop &loop;
+    Metrics &metrics;
+    const Dialect &dialect;
+    const ServingView &view;
+    ScatterHostOptions options;
+    std::uint32_t hosts;
+    std::uint64_t lastQuery = 0;
+    std::unordered_map<QueryId, Running> requests;
+    std::map<std::string, std::shared_ptr<ShardPool>, std::less<>> pools;
+    std::map<std::string, TargetPtr, std::less<>> targets;
+    // Earlier lives, until their connections are closed.
+    std::vector<TargetPtr> retired;
+    TimerId sweepTimer = 0;
+};
+
+} // namespace quetzal
