Hosts that share a request keep to the route's searchers; silent relays are left at once

Change: the first host names the searchers a shard may use; a relay that does not acknowledge within 2.5 round trips is left, for longer each time; suspect hosts are not asked.

--- a/src/connection/channel.cpp
+++ b/src/connection/channel.cpp
@@ -178,6 +178,14 @@
     return next;
 }
 
+Millis Channel::unacknowledgedFor(Millis now) const
+{
+    Millis longest;
+    for (const auto &[number, message] : this->outgoing)
+        longest = std::max(longest, now - message.firstSentAt);
+    return longest;
+}
+
 bool Channel::isUnresponsive(Millis now) const
 {
     const Millis limit
--- a/src/connection/channel.h
+++ b/src/connection/channel.h
@@ -81,6 +81,9 @@
     // True if messages stay unanswered for longer than any round trip explains.
     bool isUnresponsive(Millis now) const;
 
+    // Returns for how long the oldest message has not been acknowledged.
+    Millis unacknowledgedFor(Millis now) const;
+
     Millis roundTrip() const { return this->smoothedRoundTrip; }
     std::size_t unacknowledged() const { return this->outgoing.size(); }
     std::uint64_t retransmissions() const { return this->retransmitted; }
--- a/src/connection/peerlink.h
+++ b/src/connection/peerlink.h
@@ -81,6 +81,12 @@
     // Returns half the measured round trip to the peer.
     Millis oneWayTime(HostId peer) { return this->peer(peer).channel->roundTrip() / 2; }
 
+    // Returns for how long the oldest message to the peer has not been acknowledged.
+    Millis unacknowledgedFor(HostId peer, Millis now)
+    {
+        return this->peer(peer).channel->unacknowledgedFor(now);
+    }
+
     PeerCounts counts() const;
     std::size_t unacknowledged() const;
 
--- a/src/connection/relaymessages.h
+++ b/src/connection/relaymessages.h
@@ -30,13 +30,15 @@
     double deadlineMs = 0;
     // Parts that the whole answer may lack.
     std::uint16_t mostMissing = 0;
+    // For each shard the keys of the searchers that may get the request; empty if all may.
+    std::vector<std::vector<std::uint32_t>> allowed;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(this->number, this->tables, this->route, this->shards, this->method, this->target,
                 this->requestId, this->forwarded, this->body, this->targetMs, this->deadlineMs,
-                this->mostMissing);
+                this->mostMissing, this->allowed);
     }
 };
 
--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -42,7 +42,8 @@
     , dialect(std::move(names))
     , scatters(this->loop, this->metrics, this->dialect, this->view, this->scatterOptions())
     , relays(this->loop, this->view, this->scatters, settings.zone, startSeed(settings.name))
-    , gateway(this->loop, this->metrics, this->dialect, this->view, this->scatters, this->relays)
+    , gateway(this->loop, this->metrics, this->dialect, this->view, this->scatters, this->relays,
+              settings.zone)
 {
     this->view.onChange([this] { this->onViewChange(); });
     this->feed = makeFeed(this->loop, this->settings.storeAddress, this->view);
@@ -64,7 +65,8 @@
             [this](HostId host, std::string payload) {
                 this->exchange->sendMessage(host, std::move(payload));
             },
-            [this](HostId host) { return this->exchange->roundTripTo(host); });
+            [this](HostId host) { return this->exchange->roundTripTo(host); },
+            [this](HostId host) { return this->exchange->unacknowledgedFor(host); });
     this->exchange = std::make_unique<ViewExchange>(this->loop, this->settings, this->view,
                                                     std::move(hooks));
     this->callers = HttpServer::listen(
--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -140,15 +140,20 @@
         this->linkIncarnation = own;
         this->link->setIncarnation(own);
     }
-    if (this->membership.changeCount() == this->seenChanges)
-        return;
-    this->seenChanges = this->membership.changeCount();
     std::vector<MemberInfo> alive;
+    std::vector<HostId> ids;
     for (const MemberInfo &member : this->membership.others()) {
         this->link->setAddress(member.id, member.address);
-        if (member.state == MemberState::Alive || member.state == MemberState::Suspect)
-            alive.push_back(member);
+        // A zone that is not known yet belongs to a seed that was not heard.
+        if (member.state != MemberState::Alive || member.zone.empty())
+            continue;
+        alive.push_back(member);
+        ids.push_back(member.id);
     }
+    std::sort(ids.begin(), ids.end());
+    if (ids == this->seenAlive)
+        return;
+    this->seenAlive = ids;
     this->hooks.peersChanged(alive);
 }
 
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -60,6 +60,12 @@
     // Returns the measured time of the way to a host and back.
     Millis roundTripTo(HostId host) { return this->link->oneWayTime(host) * 2; }
 
+    // Returns for how long a message to a host has not been acknowledged.
+    Millis unacknowledgedFor(HostId host)
+    {
+        return this->link->unacknowledgedFor(host, SteadyClock::now());
+    }
+
     // The process did not run for a while.
     void onPaused() { this->link->onPaused(SteadyClock::now()); }
 
@@ -83,7 +89,7 @@
     Membership membership;
     std::unique_ptr<PeerLink> link;
     Incarnation linkIncarnation;
-    std::uint64_t seenChanges = 0;
+    std::vector<HostId> seenAlive;
     std::shared_ptr<HttpServer> server;
     TimerId timer = 0;
     // Since when some host has been ahead, and by how much it was then.
--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -30,13 +30,14 @@
 static constexpr const char *retryAfterSeconds = "0.1";
 
 Gateway::Gateway(EventLoop &loop, Metrics &metrics, const Dialect &dialect, const ServingView &view,
-                 ScatterHost &scatters, RelayDesk &relays)
+                 ScatterHost &scatters, RelayDesk &relays, std::string zone)
     : loop(loop)
     , metrics(metrics)
     , dialect(dialect)
     , view(view)
     , scatters(scatters)
     , relays(relays)
+    , zone(std::move(zone))
 {}
 
 void Gateway::onRequest(const std::shared_ptr<HttpExchange> &exchange)
@@ -131,12 +132,29 @@
     if (plan.isBatch)
         entry.timer = this->loop.schedule(entry.target + relayMargin,
                                           [this, number] { this->onTarget(number); });
+    if (plan.isBatch) {
+        entry.allowed.resize(entry.seals.size());
+        this->allow(entry, split.here, this->zone);
+        for (const RelayShare &share : split.shares)
+            this->allow(entry, share.shards, share.zone);
+    }
     for (const RelayShare &share : split.shares)
         this->askRelay(number, share);
     if (!split.here.empty())
         this->gatherHere(number, split.here, plan);
 }
 
+void Gateway::allow(Running &entry, const std::vector<std::uint32_t> &shards,
+                    const std::string &nearZone)
+{
+    const Millis now = SteadyClock::now();
+    const Millis typical = this->relays.pace(entry.route->name).typical();
+    for (const std::uint32_t shard : shards)
+        entry.allowed[shard]
+                = this->scatters.pool(entry.route->shardPools[shard])
+                          ->bestFor(nearZone, std::max(1U, entry.route->maxAttempts), typical, now);
+}
+
 void Gateway::gatherHere(std::uint64_t number, std::vector<std::uint32_t> shards, ScatterPlan plan)
 {
     const auto found = this->running.find(number);
@@ -146,8 +164,11 @@
     plan.id = this->scatters.nextId();
     ScatterStart start;
     start.plan = plan;
-    for (const std::uint32_t shard : shards)
+    for (const std::uint32_t shard : shards) {
         start.pools.push_back(this->scatters.pool(entry.route->shardPools[shard]));
+        if (!entry.allowed.empty())
+            start.allowed.push_back(entry.allowed[shard]);
+    }
     start.request = entry.request;
     start.pace = &this->relays.pace(entry.route->name);
     start.done = [this, number, id = plan.id](ScatterAnswer &&answer) {
@@ -180,6 +201,8 @@
     query.targetMs = (entry.target - now - way).count();
     query.deadlineMs = (entry.deadline - now - way).count();
     query.mostMissing = static_cast<std::uint16_t>(entry.seals.size() - this->needed(entry));
+    for (const std::uint32_t shard : share.shards)
+        query.allowed.push_back(entry.allowed[shard]);
     Batch batch;
     batch.shards = share.shards;
     batch.id = id;
--- a/src/request/gateway.h
+++ b/src/request/gateway.h
@@ -19,7 +19,7 @@
 {
 public:
     Gateway(EventLoop &loop, Metrics &metrics, const Dialect &dialect, const ServingView &view,
-            ScatterHost &scatters, RelayDesk &relays);
+            ScatterHost &scatters, RelayDesk &relays, std::string zone);
 
     // Takes a caller's request.
     void onRequest(const std::shared_ptr<HttpExchange> &exchange);
@@ -49,6 +49,9 @@
         std::vector<Batch> batches;
         // By position in the route's list of pools; empty where the part is missing.
         std::vector<std::string> seals;
+        // By the same position: the searchers that may get the request if it is relayed, so that
+        // all hosts together send it to no more than the route allows.
+        std::vector<AllowedSearchers> allowed;
         // Records of parts, merged or not.
         std::vector<std::string> records;
         std::size_t got = 0;
@@ -73,6 +76,7 @@
     void beginSingle(std::uint64_t number);
     void beginMerged(std::uint64_t number);
     void gatherHere(std::uint64_t number, std::vector<std::uint32_t> shards, ScatterPlan plan);
+    void allow(Running &entry, const std::vector<std::uint32_t> &shards, const std::string &zone);
     void askRelay(std::uint64_t number, const RelayShare &share);
     ScatterPlan planFor(const Running &entry) const;
     const std::string &pickShare(const Route &route);
@@ -97,6 +101,7 @@
     const ServingView &view;
     ScatterHost &scatters;
     RelayDesk &relays;
+    std::string zone;
     std::uint64_t lastNumber = 0;
     std::unordered_map<std::uint64_t, Running> running;
     std::map<std::string, SplitState, std::less<>> splits;
--- a/src/request/relayboard.cpp
+++ b/src/request/relayboard.cpp
@@ -44,6 +44,7 @@
     record.open = std::max(0, record.open - 1);
     record.latency += (latency.count() - record.latency) * latencyGain;
     record.avoidUntil = Millis();
+    record.avoidSpan = avoidTime;
 }
 
 void RelayBoard::onWithdrawn(HostId host)
@@ -54,7 +55,11 @@
 
 void RelayBoard::onOverdue(HostId host, Millis now)
 {
-    this->records[host].avoidUntil = now + avoidTime;
+    Record &record = this->records[host];
+    if (now < record.avoidUntil)
+        return;
+    record.avoidUntil = now + record.avoidSpan;
+    record.avoidSpan = std::min(longestAvoidTime, record.avoidSpan * 2);
 }
 
 } // namespace quetzal
--- a/src/request/relayboard.h
+++ b/src/request/relayboard.h
@@ -23,8 +23,8 @@
 
 // Keeps what this host has seen of the others as relays, and chooses among them.
 //
-// A host that owes an answer for longer than it had to is not asked until it answers again, or for
-// avoidTime.
+// A host that owes an answer for longer than it had to is not asked for avoidTime, which doubles
+// each time until it answers again.
 class RelayBoard
 {
 public:
@@ -46,7 +46,8 @@
     // The host did not answer in time, or its messages stay unacknowledged.
     void onOverdue(HostId host, Millis now);
 
-    static constexpr Millis avoidTime = Millis(2000);
+    static constexpr Millis avoidTime = Millis(1000);
+    static constexpr Millis longestAvoidTime = Millis(8000);
 
 private:
     struct Record
@@ -54,6 +55,7 @@
         int open = 0;
         double latency = 0;
         Millis avoidUntil;
+        Millis avoidSpan = avoidTime;
     };
 
     std::minstd_rand random;
--- a/src/request/relaydesk.cpp
+++ b/src/request/relaydesk.cpp
@@ -11,6 +11,9 @@
 
 // Fewer parts than this are cheaper to gather from afar.
 static constexpr std::size_t leastShare = 2;
+// Time in which a host acknowledges a message if it runs and is reached.
+static constexpr Millis shortestAcknowledgeTime = Millis(25);
+static constexpr double acknowledgeRoundTrips = 2.5;
 
 RelayDesk::RelayDesk(EventLoop &loop, const ServingView &view, ScatterHost &scatters,
                      std::string zone, std::uint64_t seed)
@@ -65,11 +68,12 @@
         const std::vector<std::uint32_t> shards = widest->second;
         if (shards.size() < leastShare)
             break;
-        const std::optional<HostId> host = this->board.choose({ widest->first }, now);
+        const std::string farZone = widest->first;
+        const std::optional<HostId> host = this->board.choose({ farZone }, now);
         byZone.erase(widest);
         if (!host)
             continue;
-        result.shares.push_back({ *host, shards });
+        result.shares.push_back({ *host, farZone, shards });
         for (const std::uint32_t shard : shards)
             far.erase(shard);
         for (auto &[name, rest] : byZone)
@@ -87,17 +91,34 @@
     entry.host = host;
     entry.sentAt = SteadyClock::now();
     entry.done = std::move(done);
-    entry.timer = this->loop.schedule(due, [this, id] {
-        const auto found = this->asked.find(id);
-        if (found == this->asked.end())
-            return;
-        this->board.onOverdue(found->second.host, SteadyClock::now());
-        this->giveUp(id, true);
-    });
+    entry.due = due;
+    entry.timer = this->loop.schedule(entry.sentAt + this->acknowledgeTime(host),
+                                      [this, id] { this->onAskTimer(id); });
     this->board.onSent(host);
     this->send(host, packRelay(RelayKind::Query, query));
 }
 
+Millis RelayDesk::acknowledgeTime(HostId host) const
+{
+    return std::max(shortestAcknowledgeTime, this->roundTrip(host) * acknowledgeRoundTrips);
+}
+
+void RelayDesk::onAskTimer(QueryId id)
+{
+    const auto found = this->asked.find(id);
+    if (found == this->asked.end())
+        return;
+    Asked &entry = found->second;
+    const Millis now = SteadyClock::now();
+    const bool silent = this->unacknowledged(entry.host) >= this->acknowledgeTime(entry.host);
+    if (!silent && now < entry.due) {
+        entry.timer = this->loop.schedule(entry.due, [this, id] { this->onAskTimer(id); });
+        return;
+    }
+    this->board.onOverdue(entry.host, now);
+    this->giveUp(id, true);
+}
+
 void RelayDesk::giveUp(QueryId id, bool mayHaveRun)
 {
     auto node = this->asked.extract(id);
@@ -198,6 +219,8 @@
     start.plan.maxAttempts = std::max(1U, route->maxAttempts);
     for (const std::uint16_t shard : query.shards)
         start.pools.push_back(this->scatters.pool(route->shardPools[shard]));
+    if (query.allowed.size() == query.shards.size())
+        start.allowed = query.allowed;
     const auto request = std::make_shared<OutboundRequest>();
     request->method = query.method;
     request->target = query.target;
--- a/src/request/relaydesk.h
+++ b/src/request/relaydesk.h
@@ -18,6 +18,7 @@
 struct RelayShare
 {
     HostId host;
+    std::string zone;
     // Positions in the route's list of pools.
     std::vector<std::uint32_t> shards;
 };
@@ -46,13 +47,15 @@
     RelayDesk(EventLoop &loop, const ServingView &view, ScatterHost &scatters, std::string zone,
               std::uint64_t seed);
 
-    // Sets how messages reach another host's desk, and how long the way there and back is. Without
-    // it nothing is relayed.
+    // Sets how messages reach another host's desk, how long the way there and back is, and for how
+    // long a message has not been acknowledged. Without it nothing is relayed.
     void setSender(std::function<void(HostId, std::string)> sender,
-                   std::function<Millis(HostId)> roundTrip)
+                   std::function<Millis(HostId)> roundTrip,
+                   std::function<Millis(HostId)> unacknowledged)
     {
         this->send = std::move(sender);
         this->roundTrip = std::move(roundTrip);
+        this->unacknowledged = std::move(unacknowledged);
     }
 
     // Returns the measured time of the way to a host and back.
@@ -93,10 +96,13 @@
         HostId host;
         Millis sentAt;
         std::function<void(RelayResult &&)> done;
+        Millis due;
         TimerId timer = 0;
     };
 
     const std::set<std::string> &zonesOf(const std::string &pool);
+    Millis acknowledgeTime(HostId host) const;
+    void onAskTimer(QueryId id);
     void giveUp(QueryId id, bool mayHaveRun);
     void onQuery(HostId from, const RelayQuery &query);
     void onAnswer(HostId from, RelayAnswer &&answer);
@@ -110,6 +116,7 @@
     RelayBoard board;
     std::function<void(HostId, std::string)> send;
     std::function<Millis(HostId)> roundTrip;
+    std::function<Millis(HostId)> unacknowledged;
     bool stopping = false;
     std::map<QueryId, Asked> asked;
     // What is gathered for other hosts, by host and its number.
--- a/src/request/scatter.cpp
+++ b/src/request/scatter.cpp
@@ -19,10 +19,11 @@
 static constexpr std::uint32_t mostRepeats = 2;
 
 Scatter::Scatter(const ScatterPlan &plan, std::vector<std::shared_ptr<ShardPool>> pools,
-                 const RoutePace &pace)
+                 const RoutePace &pace, std::vector<AllowedSearchers> allowed)
     : plan(plan)
     , pools(std::move(pools))
     , pace(pace)
+    , allowed(std::move(allowed))
     , shards(this->pools.size())
 {
     this->attempts.reserve(this->pools.size() + this->pools.size() / 4);
@@ -50,10 +51,8 @@
         ShardPool &pool = *this->pools[shard];
         if (!this->plan.isRepeat)
             pool.budget().onRequest(now);
-        auto searcher = pool.choose({}, this->pace.typical(), now, true);
-        // Which searchers had the request already is not known.
-        const bool bounded = pool.searchers().size() <= this->plan.maxAttempts;
-        if (this->plan.isRepeat && (!bounded || !pool.budget().trySpend(now)))
+        auto searcher = this->choose(shard, true, now, true);
+        if (this->plan.isRepeat && !pool.budget().trySpend(now))
             searcher.reset();
         if (!searcher || !this->launch(shard, searcher, false, now, out)) {
             this->lastFailure = Fault::PoolEmpty;
@@ -127,7 +126,7 @@
         this->giveUp(shard);
         return;
     }
-    if (this->hasUntried(state))
+    if (this->hasUntried(shard))
         this->retry(shard, now, out);
     else if (state.sent < this->plan.maxAttempts + mostRepeats
              && (outcome.verdict == Verdict::NotRun || this->plan.repeatable))
@@ -136,12 +135,40 @@
         this->giveUp(shard);
 }
 
-bool Scatter::hasUntried(const ShardState &state) const
+bool Scatter::isAllowed(std::uint32_t shard, const TrackedSearcher &searcher) const
 {
+    if (shard >= this->allowed.size() || this->allowed[shard].empty())
+        return true;
+    const AllowedSearchers &keys = this->allowed[shard];
+    return std::find(keys.begin(), keys.end(), searcher.key()) != keys.end();
+}
+
+bool Scatter::hasUntried(std::uint32_t shard) const
+{
+    const ShardState &state = this->shards[shard];
     if (state.tried.size() >= this->plan.maxAttempts)
         return false;
-    const std::size_t shard = static_cast<std::size_t>(&state - this->shards.data());
-    return this->pools[shard]->searchers().size() > state.tried.size();
+    const auto &searchers = this->pools[shard]->searchers();
+    return std::any_of(searchers.begin(), searchers.end(), [&](const auto &searcher) {
+        return this->isAllowed(shard, *searcher)
+               && std::find(state.tried.begin(), state.tried.end(), searcher.get())
+                          == state.tried.end();
+    });
+}
+
+// Chooses among the searchers that were not tried yet, or among those that were.
+std::shared_ptr<TrackedSearcher> Scatter::choose(std::uint32_t shard, bool untried, Millis now,
+                                                 bool anyOf)
+{
+    const ShardState &state = this->shards[shard];
+    std::vector<const TrackedSearcher *> except;
+    for (const auto &searcher : this->pools[shard]->searchers()) {
+        const bool tried = std::find(state.tried.begin(), state.tried.end(), searcher.get())
+                           != state.tried.end();
+        if (tried == untried || !this->isAllowed(shard, *searcher))
+            except.push_back(searcher.get());
+    }
+    return this->pools[shard]->choose(except, this->pace.typical(), now, anyOf);
 }
 
 void Scatter::retry(std::uint32_t shard, Millis now, ScatterActions &out)
@@ -151,18 +178,10 @@
     state.due = Millis::never();
     std::shared_ptr<TrackedSearcher> searcher;
     if (state.tried.size() < this->plan.maxAttempts)
-        searcher = pool.choose(state.tried, this->pace.typical(), now, true);
-    if (!searcher) {
-        // Again to one of those that refused.
-        std::vector<const TrackedSearcher *> others;
-        for (const auto &member : pool.searchers()) {
-            const bool tried = std::find(state.tried.begin(), state.tried.end(), member.get())
-                               != state.tried.end();
-            if (!tried)
-                others.push_back(member.get());
-        }
-        searcher = pool.choose(others, this->pace.typical(), now, true);
-    }
+        searcher = this->choose(shard, true, now, true);
+    // Again to one of those that refused.
+    if (!searcher)
+        searcher = this->choose(shard, false, now, true);
     const bool sent = searcher && this->plan.deadline - now >= leastUsefulBudget
                       && pool.budget().trySpend(now)
                       && this->launch(shard, searcher, true, now, out);
@@ -177,7 +196,7 @@
     ShardState &state = this->shards[shard];
     ShardPool &pool = *this->pools[shard];
     state.due = Millis::never();
-    const auto searcher = pool.choose(state.tried, this->pace.typical(), now, false);
+    const auto searcher = this->choose(shard, true, now, false);
     if (!searcher)
         return;
     if (searcher->isStalled(now)) {
--- a/src/request/scatter.h
+++ b/src/request/scatter.h
@@ -13,6 +13,9 @@
 
 namespace quetzal {
 
+// Keys of the searchers of a pool that may get a request; empty if all may.
+using AllowedSearchers = std::vector<std::uint32_t>;
+
 // What a caller asked for. Times are points on the host's clock.
 struct ScatterPlan
 {
@@ -72,8 +75,9 @@
 class Scatter
 {
 public:
+    // allowed is empty or has an entry for each pool.
     Scatter(const ScatterPlan &plan, std::vector<std::shared_ptr<ShardPool>> pools,
-            const RoutePace &pace);
+            const RoutePace &pace, std::vector<AllowedSearchers> allowed = {});
 
     void start(Millis now, ScatterActions &out);
 
@@ -119,7 +123,10 @@
     void retry(std::uint32_t shard, Millis now, ScatterActions &out);
     void hedge(std::uint32_t shard, Millis now, ScatterActions &out);
     void giveUp(std::uint32_t shard);
-    bool hasUntried(const ShardState &state) const;
+    bool hasUntried(std::uint32_t shard) const;
+    bool isAllowed(std::uint32_t shard, const TrackedSearcher &searcher) const;
+    std::shared_ptr<TrackedSearcher> choose(std::uint32_t shard, bool untried, Millis now,
+                                            bool anyOf);
     Millis hedgeDelay() const;
     std::size_t needed() const;
     void finishIfDue(Millis now, ScatterActions &out);
@@ -129,6 +136,7 @@
     ScatterPlan plan;
     std::vector<std::shared_ptr<ShardPool>> pools;
     const RoutePace &pace;
+    std::vector<AllowedSearchers> allowed;
     std::vector<ShardState> shards;
     std::vector<AttemptState> attempts;
     std::size_t answered = 0;
--- a/src/request/scatterhost.cpp
+++ b/src/request/scatterhost.cpp
@@ -56,8 +56,8 @@
 {
     const QueryId id = request.plan.id;
     Running &entry = this->requests[id];
-    entry.scatter
-            = std::make_unique<Scatter>(request.plan, std::move(request.pools), *request.pace);
+    entry.scatter = std::make_unique<Scatter>(request.plan, std::move(request.pools), *request.pace,
+                                              std::move(request.allowed));
     entry.request = std::move(request.request);
     entry.pace = request.pace;
     entry.deadline = request.plan.deadline;
--- a/src/request/scatterhost.h
+++ b/src/request/scatterhost.h
@@ -36,6 +36,8 @@
 {
     ScatterPlan plan;
     std::vector<std::shared_ptr<ShardPool>> pools;
+    // Empty, or an entry for each pool.
+    std::vector<AllowedSearchers> allowed;
     std::shared_ptr<const OutboundRequest> request;
     RoutePace *pace = nullptr;
     // Takes the answer, once; perhaps before start returns.
--- a/src/request/shardpool.cpp
+++ b/src/request/shardpool.cpp
@@ -1,6 +1,7 @@
 #include "request/shardpool.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace quetzal {
 
@@ -42,6 +43,20 @@
     return best;
 }
 
+std::vector<std::uint32_t> ShardPool::bestFor(const std::string &zone, std::size_t count,
+                                              Millis typical, Millis now) const
+{
+    std::vector<std::uint32_t> keys;
+    std::vector<std::tuple<int, bool, double, std::uint32_t>> ranked;
+    for (const auto &searcher : this->members)
+        ranked.emplace_back(reluctance(*searcher, now), searcher->registration().zone != zone,
+                            searcher->expectedLatency(typical, now).count(), searcher->key());
+    std::sort(ranked.begin(), ranked.end());
+    for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i)
+        keys.push_back(std::get<3>(ranked[i]));
+    return keys;
+}
+
 bool ShardPool::hasSearcher(Millis now) const
 {
     return std::any_of(this->members.begin(), this->members.end(), [now](const auto &searcher) {
--- a/src/request/shardpool.h
+++ b/src/request/shardpool.h
@@ -28,6 +28,10 @@
     std::shared_ptr<TrackedSearcher> choose(const std::vector<const TrackedSearcher *> &except,
                                             Millis typical, Millis now, bool anyOf);
 
+    // Returns the keys of the count searchers that are best for a host in a zone, or of all.
+    std::vector<std::uint32_t> bestFor(const std::string &zone, std::size_t count, Millis typical,
+                                       Millis now) const;
+
     // True if some searcher may get work.
     bool hasSearcher(Millis now) const;
 
--- a/src/request/trackedsearcher.cpp
+++ b/src/request/trackedsearcher.cpp
@@ -30,6 +30,7 @@
 
 TrackedSearcher::TrackedSearcher(const DirectoryEntry &entry, Millis distance, Millis now)
     : entry(entry)
+    , shortName(static_cast<std::uint32_t>(stableHash(entry.id)))
     , distance(distance)
     , warmUntil(now + entry.warmup)
 {}
--- a/src/request/trackedsearcher.h
+++ b/src/request/trackedsearcher.h
@@ -48,6 +48,9 @@
 
     std::size_t openAttempts() const { return this->open.size(); }
     const DirectoryEntry &registration() const { return this->entry; }
+
+    // Returns a short name of the searcher, the same on every host.
+    std::uint32_t key() const { return this->shortName; }
     double slownessNow(Millis now) const;
 
     void setConnectionLimit(std::uint32_t limit) { this->connectionLimit = limit; }
@@ -65,6 +68,7 @@
     void recordLatency(const OpenAttempt &attempt, Millis latency, bool isFloor, Millis now);
 
     DirectoryEntry entry;
+    std::uint32_t shortName;
     Millis distance;
     Millis lastUse = Millis::never();
     Millis warmUntil;
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -3,10 +3,14 @@
 #include "process/membership.h"
 #include "quetzal/fault.h"
 #include "request/recordmerge.h"
+#include "request/relayboard.h"
 #include "request/scatter.h"
 #include "version/codec.h"
 #include "version/servingview.h"
 
+#include <algorithm>
+#include <set>
+
 #include <doctest/doctest.h>
 
 using namespace quetzal;
@@ -390,3 +394,93 @@
     membership.onHeartbeat(heartbeat, Millis(0), out);
     CHECK(membership.own().incarnation.value > 5000);
 }
+
+TEST_CASE("some parts of a request answer at their target with what is in, and at once if too few")
+{
+    Bench bench(4);
+    bench.plan.isBatch = true;
+    bench.plan.mostMissing = 1;
+    bench.start(Millis(0));
+    for (std::uint32_t i = 0; i < 3; ++i)
+        bench.end(i, good, Millis(10));
+    CHECK_FALSE(bench.answer);
+    bench.tick(Millis(100));
+    REQUIRE(bench.answer);
+    CHECK(bench.answer->missing == 1);
+    Bench hopeless(4, 0);
+    hopeless.plan.isBatch = true;
+    hopeless.plan.mostMissing = 1;
+    hopeless.start(Millis(0));
+    hopeless.end(0, good, Millis(5));
+    hopeless.end(1, lost, Millis(6));
+    CHECK_FALSE(hopeless.answer);
+    hopeless.end(2, lost, Millis(7));
+    REQUIRE(hopeless.answer);
+    // What is in goes along, so that another host can tell what lacks.
+    CHECK(hopeless.answer->replies[0]);
+}
+
+TEST_CASE("hosts that share a request keep to the searchers that the first one named")
+{
+    Bench bench(2);
+    for (const char *more : { "c0", "d0" })
+        bench.pools[0]->add(
+                std::make_shared<TrackedSearcher>(registration(more, 1), Millis(0), Millis(0)));
+    const AllowedSearchers allowed = bench.pools[0]->bestFor("", 2, Millis(20), Millis(0));
+    REQUIRE(allowed.size() == 2);
+    bench.scatter = std::make_unique<Scatter>(bench.plan, bench.pools, bench.pace,
+                                              std::vector<AllowedSearchers>{ allowed, {} });
+    std::set<std::uint32_t> used;
+    ScatterActions out;
+    bench.scatter->start(Millis(0), out);
+    for (int ms = 1; ms < 900; ms += 10)
+        bench.scatter->onTimer(Millis(ms), out);
+    for (const ScatterSend &send : out.send) {
+        if (send.searcher->registration().id.ends_with("0"))
+            used.insert(send.searcher->key());
+    }
+    CHECK(used.size() == 2);
+    for (const std::uint32_t key : used)
+        CHECK(std::find(allowed.begin(), allowed.end(), key) != allowed.end());
+}
+
+TEST_CASE("a repeat of what another host may have sent takes from the budget")
+{
+    Bench bench(2, 1);
+    bench.plan.isRepeat = true;
+    bench.start(Millis(0));
+    // A slack of one for each pool, and no request of this host's own.
+    CHECK(bench.sent.size() == 2);
+    Bench again(2, 0);
+    again.plan.isRepeat = true;
+    again.start(Millis(0));
+    CHECK(again.sent.empty());
+    REQUIRE(again.answer);
+}
+
+TEST_CASE("a relay that is overdue is left alone, longer each time, until it answers")
+{
+    RelayBoard board(1);
+    const HostId near = { 1 };
+    const HostId far = { 2 };
+    board.setPeers({ { near, "a" }, { far, "b" } });
+    CHECK(board.choose({ "a" }, Millis(0)) == near);
+    CHECK_FALSE(board.choose({ "c" }, Millis(0)));
+    board.onOverdue(near, Millis(0));
+    CHECK_FALSE(board.choose({ "a" }, RelayBoard::avoidTime - Millis(1)));
+    CHECK(board.choose({ "a" }, RelayBoard::avoidTime));
+    board.onOverdue(near, RelayBoard::avoidTime);
+    CHECK_FALSE(board.choose({ "a" }, RelayBoard::avoidTime * 2.5));
+    board.onAnswer(near, Millis(20));
+    CHECK(board.choose({ "a" }, RelayBoard::avoidTime * 2.5));
+}
+
+TEST_CASE("a relay with more work open is asked less")
+{
+    RelayBoard board(1);
+    board.setPeers({ { { 1 }, "a" }, { { 2 }, "a" } });
+    for (int i = 0; i < 5; ++i)
+        board.onSent({ 1 });
+    for (int i = 0; i < 20; ++i)
+        CHECK(board.choose({ "a" }, Millis(0)) == HostId{ 2 });
+}
