--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -24,6 +24,8 @@
 static constexpr Millis hostsMemory = Millis(20'000);
 // Time for which a new host keeps to the number of hosts that it was told to assume.
 static constexpr Millis settlingTime = Millis(5000);
+// Time for which a host that began is busy with itself.
+static constexpr Millis warmTime = Millis(1000);
 // Without secrets in the settings the signature is a checksum only.
 static constexpr const char *unkeyedSecret = "quetzalchute-unkeyed";
 
@@ -140,6 +142,7 @@
         this->linkIncarnation = own;
         this->link->setIncarnation(own);
     }
+    const Millis now = SteadyClock::now();
     std::vector<MemberInfo> alive;
     std::vector<HostId> ids;
     for (const MemberInfo &member : this->membership.others()) {
@@ -147,6 +150,13 @@
         // A zone that is not known yet belongs to a seed that was not heard.
         if (member.state != MemberState::Alive || member.zone.empty())
             continue;
+        auto &[life, since] = this->heardSince[member.id];
+        if (life != member.incarnation) {
+            life = member.incarnation;
+            since = now;
+        }
+        if (now - since < warmTime)
+            continue;
         alive.push_back(member);
         ids.push_back(member.id);
     }
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -11,6 +11,7 @@
 #include "version/servingview.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,7 +27,7 @@
     std::function<void()> feedIsBehind;
     // The number of hosts that share budgets changed.
     std::function<void(std::uint32_t)> hostsChanged;
-    // The other hosts that are alive changed.
+    // The other hosts that are alive, and have been for a while, changed.
     std::function<void(const std::vector<MemberInfo> &)> peersChanged;
     // A message of another host's gateway arrived, once.
     std::function<void(HostId, const std::string &)> onMessage;
@@ -90,6 +91,8 @@
     std::unique_ptr<PeerLink> link;
     Incarnation linkIncarnation;
     std::vector<HostId> seenAlive;
+    // The life of each other host and since when it has been heard.
+    std::map<HostId, std::pair<Incarnation, Millis>> heardSince;
     std::shared_ptr<HttpServer> server;
     TimerId timer = 0;
     // Since when some host has been ahead, and by how much it was then.
--- a/src/request/relaydesk.cpp
+++ b/src/request/relaydesk.cpp
@@ -12,8 +12,8 @@
 // Fewer parts than this are cheaper to gather from afar.
 static constexpr std::size_t leastShare = 2;
 // Time in which a host acknowledges a message if it runs and is reached.
-static constexpr Millis shortestAcknowledgeTime = Millis(25);
-static constexpr double acknowledgeRoundTrips = 2.5;
+static constexpr Millis shortestAcknowledgeTime = Millis(40);
+static constexpr double acknowledgeRoundTrips = 3;
 
 RelayDesk::RelayDesk(EventLoop &loop, const ServingView &view, ScatterHost &scatters,
                      std::string zone, std::uint64_t seed)
--- a/src/request/shardpool.h
+++ b/src/request/shardpool.h
@@ -78,7 +78,7 @@
     static constexpr double fallbackFactor = 2;
 
     LatencyQuantile latencies;
-    Millis mean = Millis(20);
+    Millis mean = Millis(30);
 };
 
 } // namespace quetzal
