Choice: the price of the way apart from its time; refusals weigh more

A larger distance alone made far searchers look faster than they are, as it is taken off their latencies.

--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -28,6 +28,7 @@
     ScatterHostOptions options;
     options.zone = this->settings.zone;
     options.zoneDistance = this->settings.zoneDistance;
+    options.zoneReluctance = this->settings.zoneReluctance;
     options.retries.ratio = this->settings.retryRatio;
     options.retries.slack = this->settings.retrySlack;
     options.retries.window = this->settings.retryWindow;
--- a/src/process/gatewaysettings.cpp
+++ b/src/process/gatewaysettings.cpp
@@ -65,11 +65,13 @@
     }
     reader.allowOnly(root, "settings", { "host", "listen", "store", "seeds", "retries", "limits" });
     const YAML::Node host = section(reader, root, "host", true);
-    reader.allowOnly(host, "host", { "name", "zone", "zone_distance_ms" });
+    reader.allowOnly(host, "host", { "name", "zone", "zone_distance_ms", "zone_reluctance_ms" });
     settings.name = reader.text(host, "name", "host", true);
     settings.zone = reader.text(host, "zone", "host", true);
     settings.zoneDistance = Millis(reader.number(host, "zone_distance_ms", "host", 0, longestMs,
                                                  false, settings.zoneDistance.count()));
+    settings.zoneReluctance = Millis(reader.number(host, "zone_reluctance_ms", "host", 0, longestMs,
+                                                   false, settings.zoneReluctance.count()));
     const YAML::Node listen = section(reader, root, "listen", true);
     reader.allowOnly(listen, "listen", { "callers", "ready", "view", "heartbeat" });
     settings.callersAddress = readAddress(reader, listen, "callers", "listen");
--- a/src/process/gatewaysettings.h
+++ b/src/process/gatewaysettings.h
@@ -30,8 +30,10 @@
     Millis retryWindow = Millis(10'000);
     // Time from the order to stop until the process must have ended.
     Millis grace = Millis(6000);
-    // Cost of the way to another zone and back.
+    // Time of the way to another zone and back.
     Millis zoneDistance = Millis(8);
+    // Expected latency that is accepted in the own zone before another one's searcher is used.
+    Millis zoneReluctance = Millis(10);
 };
 
 // Returns the bytes of a file, or nothing if it cannot be read.
--- a/src/request/scatterhost.cpp
+++ b/src/request/scatterhost.cpp
@@ -204,9 +204,10 @@
 {
     const DirectoryEntry &entry = record.entry;
     const auto target = std::make_shared<Target>();
-    const Millis distance
-            = entry.zone == this->options.zone ? Millis(0) : this->options.zoneDistance;
-    target->searcher = std::make_shared<TrackedSearcher>(entry, distance, now);
+    const bool isNear = entry.zone == this->options.zone;
+    target->searcher = std::make_shared<TrackedSearcher>(
+            entry, isNear ? Millis() : this->options.zoneDistance, now,
+            isNear ? Millis() : this->options.zoneReluctance);
     target->pool = this->pool(entry.pool);
     SearcherLinkCallbacks callbacks;
     const std::weak_ptr<Target> weak = target;
--- a/src/request/scatterhost.h
+++ b/src/request/scatterhost.h
@@ -24,6 +24,8 @@
     std::string zone;
     // Cost of the way to another zone and back.
     Millis zoneDistance = Millis(8);
+    // Expected latency that is accepted in the own zone before another one's searcher is used.
+    Millis zoneReluctance = Millis(10);
     // Extra attempts that all hosts together may add to a pool.
     RetryWindowOptions retries;
     // Hosts that share the budget and the searchers' connections until others are known.
--- a/src/request/shardpool.cpp
+++ b/src/request/shardpool.cpp
@@ -33,7 +33,7 @@
         if (unwilling > bestReluctance || (!best && unwilling == bestReluctance))
             continue;
         const double draw = static_cast<double>(this->random() % 1000) / 1000;
-        const double cost = searcher->expectedLatency(typical, now).count() * (1 + jitter * draw);
+        const double cost = searcher->cost(typical, now).count() * (1 + jitter * draw);
         if (best && unwilling == bestReluctance && cost >= bestCost)
             continue;
         best = searcher;
@@ -50,7 +50,7 @@
     std::vector<std::tuple<int, bool, double, std::uint32_t>> ranked;
     for (const auto &searcher : this->members)
         ranked.emplace_back(reluctance(*searcher, now), searcher->registration().zone != zone,
-                            searcher->expectedLatency(typical, now).count(), searcher->key());
+                            searcher->cost(typical, now).count(), searcher->key());
     std::sort(ranked.begin(), ranked.end());
     for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i)
         keys.push_back(std::get<3>(ranked[i]));
--- a/src/request/trackedsearcher.cpp
+++ b/src/request/trackedsearcher.cpp
@@ -18,7 +18,7 @@
 static constexpr double stallFactor = 3;
 static constexpr Millis shortestStall = Millis(30);
 static constexpr Millis stallCost = Millis(150);
-static constexpr Millis refusalCost = Millis(40);
+static constexpr Millis refusalCost = Millis(120);
 static constexpr int failuresBeforeBackOff = 2;
 static constexpr Millis firstBackOff = Millis(150);
 static constexpr Millis longestBackOff = Millis(3000);
@@ -28,10 +28,12 @@
     return value * std::exp2(-(since / halfLife));
 }
 
-TrackedSearcher::TrackedSearcher(const DirectoryEntry &entry, Millis distance, Millis now)
+TrackedSearcher::TrackedSearcher(const DirectoryEntry &entry, Millis distance, Millis now,
+                                 Millis reluctance)
     : entry(entry)
     , shortName(static_cast<std::uint32_t>(stableHash(entry.id)))
     , distance(distance)
+    , reluctance(reluctance)
     , warmUntil(now + entry.warmup)
 {}
 
@@ -140,7 +142,7 @@
     return this->failures >= failuresBeforeBackOff && !this->open.empty();
 }
 
-Millis TrackedSearcher::expectedLatency(Millis typical, Millis now) const
+Millis TrackedSearcher::cost(Millis typical, Millis now) const
 {
     const double slots = std::max(1U, this->entry.slots);
     double ahead = static_cast<double>(this->open.size());
@@ -149,7 +151,8 @@
     Millis service = typical * std::max(0.3, this->slownessNow(now));
     if (now < this->warmUntil)
         service = service * coldFactor;
-    Millis cost = service + service * (std::max(0.0, ahead + 1 - slots) / slots) + this->distance;
+    Millis cost = service + service * (std::max(0.0, ahead + 1 - slots) / slots) + this->distance
+                  + this->reluctance;
     // Half a slot's work is likelier to be in the way the more is open.
     cost += service * (0.1 * ahead);
     cost += refusalCost * decayed(this->refusals, now - this->refusalsAt, refusalHalfLife);
--- a/src/request/trackedsearcher.h
+++ b/src/request/trackedsearcher.h
@@ -19,8 +19,10 @@
 class TrackedSearcher
 {
 public:
-    // near: the searcher is in this host's zone. distance: cost of the way to it and back.
-    TrackedSearcher(const DirectoryEntry &entry, Millis distance, Millis now);
+    // distance: time of the way to it and back. reluctance: expected latency that is accepted
+    // elsewhere before it is used, for the price of the way.
+    TrackedSearcher(const DirectoryEntry &entry, Millis distance, Millis now,
+                    Millis reluctance = Millis());
 
     // Takes a later word of the registry about the same life. Work may go there until lastUse if
     // no other searcher is left, or without limit while it is ready.
@@ -37,8 +39,9 @@
     // Takes the searcher's word about its load.
     void onLoad(const LoadReport &report, Millis now);
 
-    // Returns the latency that an attempt sent now would have, on a route of a typical latency.
-    Millis expectedLatency(Millis typical, Millis now) const;
+    // Returns the latency that an attempt sent now would have, on a route of a typical latency, with
+    // the reluctance.
+    Millis cost(Millis typical, Millis now) const;
 
     // True while some attempt is open for much longer than usual.
     bool isStalled(Millis now) const;
@@ -70,6 +73,7 @@
     DirectoryEntry entry;
     std::uint32_t shortName;
     Millis distance;
+    Millis reluctance;
     Millis lastUse = Millis::never();
     Millis warmUntil;
     std::uint32_t connectionLimit = 1;
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -484,3 +484,23 @@
     for (int i = 0; i < 20; ++i)
         CHECK(board.choose({ "a" }, Millis(0)) == HostId{ 2 });
 }
+
+TEST_CASE("the own zone's searcher is preferred until it keeps refusing")
+{
+    ShardPool pool("p", RetryWindowOptions(), 1);
+    const auto near
+            = std::make_shared<TrackedSearcher>(registration("near", 1), Millis(0), Millis(0));
+    const auto far = std::make_shared<TrackedSearcher>(registration("far", 1), Millis(9), Millis(0),
+                                                       Millis(35));
+    pool.add(near);
+    pool.add(far);
+    // A little slower is no reason to pay for the way.
+    near->onSent({ { 1 }, 0 }, Millis(20), Millis(0));
+    CHECK(pool.choose({}, Millis(20), Millis(1), true) == near);
+    near->onEnd({ { 1 }, 0 }, shed, Millis(2));
+    for (std::uint32_t i = 1; i < 6; ++i) {
+        near->onSent({ { 1 }, i }, Millis(20), Millis(2));
+        near->onEnd({ { 1 }, i }, shed, Millis(2));
+    }
+    CHECK(pool.choose({}, Millis(20), Millis(3), true) == far);
+}
