Of attempts that wait for a searcher the latest goes first

Ruled out: the budget (over 20 extra attempts left), relays (8 to 45 fall-backs a second, not on the failed requests), the store. Change: the latest of those that wait is sent first; one whose answer would come too late is ended as not run. Logs name the missing pools (QZ2301) and what a relay gathered (QZ2307).

--- a/src/connection/searcherlink.cpp
+++ b/src/connection/searcherlink.cpp
@@ -40,16 +40,35 @@
 }
 
 void SearcherLink::submit(const AttemptId &id, std::shared_ptr<const OutboundRequest> request,
-                          Millis deadline)
+                          Millis deadline, Millis startBy)
 {
-    this->waiting.push_back({ id, std::move(request), deadline });
+    this->waiting.push_back({ id, std::move(request), deadline, startBy });
     this->pump();
 }
 
+// Ends what waited for too long: its answer would come too late.
+void SearcherLink::dropLate(Millis now)
+{
+    std::vector<AttemptId> late;
+    std::erase_if(this->waiting, [&](const Work &work) {
+        if (now < work.startBy)
+            return false;
+        late.push_back(work.id);
+        return true;
+    });
+    for (const AttemptId &id : late)
+        this->end(id, Verdict::NotRun, Fault::DeadlineTooShort, Hop::Entry);
+}
+
 void SearcherLink::pump()
 {
+    const std::shared_ptr<SearcherLink> self = this->shared_from_this();
     const Millis now = SteadyClock::now();
+    this->dropLate(now);
     std::size_t connecting = 0;
+    std::size_t busy = static_cast<std::size_t>(
+            std::count_if(this->connections.begin(), this->connections.end(),
+                          [](const ConnectionPtr &connection) { return connection->work; }));
     const std::vector<ConnectionPtr> present = this->connections;
     for (const ConnectionPtr &connection : present) {
         if (this->waiting.empty())
@@ -60,13 +79,18 @@
             ++connecting;
             continue;
         }
+        // Connections beyond the limit stay idle, and end by their keep-alive time.
+        if (busy >= this->connectionLimit(now))
+            break;
         if (now - connection->idleSince > connection->keepAlive) {
             this->drop(connection);
             continue;
         }
-        Work next = std::move(this->waiting.front());
-        this->waiting.pop_front();
+        // The latest one has most time left; under overload the oldest would all come too late.
+        Work next = std::move(this->waiting.back());
+        this->waiting.pop_back();
         this->send(connection, std::move(next));
+        ++busy;
     }
     while (connecting < this->waiting.size()
            && this->connections.size() < this->connectionLimit(now)) {
--- a/src/connection/searcherlink.h
+++ b/src/connection/searcherlink.h
@@ -8,6 +8,7 @@
 #include "quetzal/verdict.h"
 #include "request/attempt.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -35,9 +36,10 @@
     SearcherLink(const SearcherLink &) = delete;
     SearcherLink &operator=(const SearcherLink &) = delete;
 
-    // Sends an attempt now or as soon as a connection is free.
+    // Sends an attempt now or as soon as a connection is free. Of those that wait, the latest goes
+    // first; one is not sent any more once startBy has passed.
     void submit(const AttemptId &id, std::shared_ptr<const OutboundRequest> request,
-                Millis deadline);
+                Millis deadline, Millis startBy = Millis::never());
 
     // Nobody waits for an attempt any more. Its connection is kept if the reply comes soon, else
     // closed, which cancels the work; an attempt that may not be repeated runs to its end.
@@ -67,6 +69,7 @@
         AttemptId id;
         std::shared_ptr<const OutboundRequest> request;
         Millis deadline;
+        Millis startBy;
     };
 
     // One connection. Busy while it holds work that was sent.
@@ -94,6 +97,7 @@
 
     void openConnection();
     void pump();
+    void dropLate(Millis now);
     void send(const ConnectionPtr &connection, Work &&work);
     void onConnected(const ConnectionPtr &connection);
     void onData(const ConnectionPtr &connection, std::string_view data);
--- a/src/process/eventlog.h
+++ b/src/process/eventlog.h
@@ -48,6 +48,7 @@
     StoreListed,
     AttemptExtra,
     RelayFallBack,
+    RelayGathered,
 };
 
 // How much an event matters.
@@ -62,7 +63,7 @@
 };
 
 // In the order of the enumerators.
-inline constexpr std::array<LogEventInfo, 38> logEvents = { {
+inline constexpr std::array<LogEventInfo, 39> logEvents = { {
         { 1001, "started", LogLevel::Info },
         { 1002, "ready", LogLevel::Info },
         { 1003, "not-ready", LogLevel::Warning },
@@ -101,6 +102,7 @@
         { 1106, "store-listed", LogLevel::Info },
         { 2305, "attempt-extra", LogLevel::Info },
         { 2306, "relay-fall-back", LogLevel::Warning },
+        { 2307, "relay-gathered", LogLevel::Info },
 } };
 
 // Sets where log lines go: a file, or standard error if the path is empty.
--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -502,6 +502,13 @@
          << " hedges=" << entry.hedges << " retries=" << entry.retries
          << " ms=" << (SteadyClock::now() - entry.arrivedAt).count()
          << " tables=" << entry.tables->revision.value << " directory=" << this->view.revision();
+    const char *separator = " missing=";
+    for (std::size_t shard = 0; shard < entry.seals.size(); ++shard) {
+        if (!entry.seals[shard].empty())
+            continue;
+        line << separator << entry.route->shardPools[shard];
+        separator = ",";
+    }
     logEvent(LogEvent::RequestEnded, line.str());
 }
 
--- a/src/request/relaydesk.cpp
+++ b/src/request/relaydesk.cpp
@@ -6,6 +6,7 @@
 #include "request/recordmerge.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace quetzal {
 
@@ -185,6 +186,26 @@
     this->send(to, packRelay(RelayKind::Answer, answer));
 }
 
+static void logGathered(const std::string &id, HostId asker,
+                        const std::vector<std::shared_ptr<ShardPool>> &pools,
+                        const ScatterAnswer &answer, Millis span)
+{
+    std::ostringstream line;
+    line << "id=" << id << " asked_by=" << asker.value << " parts=" << pools.size() - answer.missing
+         << "/" << pools.size() << " sent=" << answer.sent << " hedges=" << answer.hedges
+         << " retries=" << answer.retries
+         << " code=" << (answer.lastFailure ? answer.lastFailure.message() : "none")
+         << " ms=" << span.count();
+    const char *separator = " missing=";
+    for (std::size_t i = 0; i < pools.size(); ++i) {
+        if (answer.replies[i])
+            continue;
+        line << separator << pools[i]->name();
+        separator = ",";
+    }
+    logEvent(LogEvent::RelayGathered, line.str());
+}
+
 void RelayDesk::onQuery(HostId from, const RelayQuery &query)
 {
     RelayAnswer refusal;
@@ -232,8 +253,10 @@
     start.pace = &this->pace(route->name);
     const std::pair<HostId, std::uint64_t> key = { from, query.number };
     const std::uint32_t limit = route->resultSize;
-    start.done = [this, key, limit](ScatterAnswer &&gathered) {
+    start.done = [this, key, limit, now, id = query.requestId,
+                  pools = start.pools](ScatterAnswer &&gathered) {
         this->gathering.erase(key);
+        logGathered(id, key.first, pools, gathered, SteadyClock::now() - now);
         RelayAnswer result;
         result.number = key.second;
         result.mayHaveRun = gathered.mayHaveRun;
--- a/src/request/scatterhost.cpp
+++ b/src/request/scatterhost.cpp
@@ -13,6 +13,8 @@
 // Margin that keeps the sum of all hosts within the budget.
 static constexpr double budgetShare = 0.8;
 static constexpr std::uint32_t mostConnections = 2;
+// Part of the typical latency below which an attempt cannot be answered in time.
+static constexpr double leastServiceShare = 0.7;
 
 ScatterHost::ScatterHost(EventLoop &loop, Metrics &metrics, const Dialect &dialect,
                          const ServingView &view, const ScatterHostOptions &options)
@@ -60,6 +62,7 @@
                                               std::move(request.allowed));
     entry.request = std::move(request.request);
     entry.pace = request.pace;
+    entry.target = request.plan.merged ? request.plan.target : request.plan.deadline;
     entry.deadline = request.plan.deadline;
     entry.done = std::move(request.done);
     ScatterActions actions;
@@ -128,6 +131,9 @@
     }
     const auto request = entry.request;
     const Millis deadline = entry.deadline;
+    // After the target any answer is late, and as good as another.
+    const Millis usefulUntil = now < entry.target ? entry.target : deadline;
+    const Millis startBy = usefulUntil - entry.pace->typical() * leastServiceShare;
     if (actions.answer)
         this->finish(id, std::move(*actions.answer));
     else
@@ -135,7 +141,7 @@
     // Submitting may end attempts at once, which comes back to this request.
     for (const auto &[target, ordinal] : submits) {
         if (target)
-            target->link->submit({ id, ordinal }, request, deadline);
+            target->link->submit({ id, ordinal }, request, deadline, startBy);
         else
             this->onAttemptEnd(nullptr, { id, ordinal },
                                { Verdict::NotRun, Fault::ConnectFailed, Hop::Entry }, {});
--- a/src/request/scatterhost.h
+++ b/src/request/scatterhost.h
@@ -93,6 +93,7 @@
         std::unique_ptr<Scatter> scatter;
         std::shared_ptr<const OutboundRequest> request;
         RoutePace *pace = nullptr;
+        Millis target;
         Millis deadline;
         std::function<void(ScatterAnswer &&)> done;
         // Links that the attempts were sent on, and when, by ordinal.
--- a/tests/searcherlinktest.cpp
+++ b/tests/searcherlinktest.cpp
@@ -115,13 +115,14 @@
         this->link->setConnectionLimit(2);
     }
 
-    void submit(std::uint32_t ordinal, const std::string &requestId)
+    void submit(std::uint32_t ordinal, const std::string &requestId,
+                Millis startBy = Millis::never())
     {
         const auto request = std::make_shared<OutboundRequest>();
         request->method = "GET";
         request->target = "/a";
         request->requestId = requestId;
-        this->link->submit({ { 1 }, ordinal }, request, SteadyClock::now() + Millis(2000));
+        this->link->submit({ { 1 }, ordinal }, request, SteadyClock::now() + Millis(2000), startBy);
     }
 
     // Runs until so many attempts have ended, for two seconds at most.
@@ -250,3 +251,20 @@
     CHECK(bench.link->connectionLimit(now) == 1);
     CHECK(bench.link->connectionLimit(now + Millis(5000)) == 2);
 }
+
+TEST_CASE("of those that wait the latest goes first, and one that came too late is not sent")
+{
+    // The replies name the requests in the order in which they must arrive.
+    LinkBench bench({ { replyFor("r2") }, { replyFor("r1") }, { replyFor("r0") } });
+    bench.link->setConnectionLimit(1);
+    bench.submit(0, "r0");
+    bench.submit(1, "r1");
+    bench.submit(3, "r3", SteadyClock::now() - Millis(1));
+    bench.submit(2, "r2");
+    bench.run(4);
+    CHECK(bench.ended.at(3).outcome.verdict == Verdict::NotRun);
+    CHECK(bench.ended.at(3).outcome.code == Fault::DeadlineTooShort);
+    REQUIRE(bench.searcher->requests.size() == 3);
+    for (const std::uint32_t ordinal : { 0U, 1U, 2U })
+        CHECK(bench.ended.at(ordinal).outcome.succeeded());
+}
