--- a/tests/searcherlinktest.cpp
+++ b/tests/searcherlinktest.cpp
@@ -257,6 +257,7 @@
     // The replies name the requests in the order in which they must arrive.
     LinkBench bench({ { replyFor("r2") }, { replyFor("r1") }, { replyFor("r0") } });
     bench.link->setConnectionLimit(1);
+    bench.awaited = 4;
     bench.submit(0, "r0");
     bench.submit(1, "r1");
     bench.submit(3, "r3", SteadyClock::now() - Millis(1));
