--- a/src/process/eventlog.h
+++ b/src/process/eventlog.h
@@ -49,6 +49,7 @@
     AttemptExtra,
     RelayFallBack,
     RelayGathered,
+    StoreReading,
 };
 
 // How much an event matters.
@@ -63,7 +64,7 @@
 };
 
 // In the order of the enumerators.
-inline constexpr std::array<LogEventInfo, 39> logEvents = { {
+inline constexpr std::array<LogEventInfo, 40> logEvents = { {
         { 1001, "started", LogLevel::Info },
         { 1002, "ready", LogLevel::Info },
         { 1003, "not-ready", LogLevel::Warning },
@@ -103,6 +104,7 @@
         { 2305, "attempt-extra", LogLevel::Info },
         { 2306, "relay-fall-back", LogLevel::Warning },
         { 2307, "relay-gathered", LogLevel::Info },
+        { 1107, "store-reading", LogLevel::Info },
 } };
 
 // Sets where log lines go: a file, or standard error if the path is empty.
--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -42,7 +42,9 @@
     , metrics("gateway")
     , dialect(std::move(names))
     , scatters(this->loop, this->metrics, this->dialect, this->view, this->scatterOptions())
-    , relays(this->loop, this->view, this->scatters, settings.zone, startSeed(settings.name))
+    , relays(this->loop, this->view, this->scatters,
+             HostId{ stableHash(settings.heartbeatAddress) }, settings.zone,
+             startSeed(settings.name))
     , gateway(this->loop, this->metrics, this->dialect, this->view, this->scatters, this->relays,
               settings.zone)
 {
@@ -58,6 +60,7 @@
             peers.push_back({ member.id, member.zone });
         this->relays.setPeers(std::move(peers));
     };
+    hooks.restingChanged = [this](bool resting) { this->feed->setResting(resting); };
     hooks.onMessage = [this](HostId from, const std::string &payload) {
         this->relays.onMessage(from, payload);
     };
--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -26,6 +26,11 @@
 static constexpr Millis settlingTime = Millis(5000);
 // Time for which a host that began is busy with itself.
 static constexpr Millis warmTime = Millis(1000);
+// From this many hosts on only some follow the store.
+static constexpr std::size_t largeFleet = 20;
+static constexpr std::size_t readersPerZone = 2;
+// Hosts that are told at once of a newer view.
+static constexpr std::size_t toldAtOnce = 4;
 // Without secrets in the settings the signature is a checksum only.
 static constexpr const char *unkeyedSecret = "quetzalchute-unkeyed";
 
@@ -51,6 +56,7 @@
     , membership(ownInfo(settings), MembershipTimes(),
                  stableHash(stableHash(settings.heartbeatAddress),
                             static_cast<std::uint64_t>(SteadyClock::now().count())))
+    , random(static_cast<std::minstd_rand::result_type>(stableHash(settings.name) | 1))
 {
     PeerCallbacks callbacks;
     callbacks.onHeartbeat = [this](const Heartbeat &heartbeat) { this->onHeartbeat(heartbeat); };
@@ -185,6 +191,8 @@
     this->membership.onTimer(now, out);
     this->send(out);
     this->countHosts(now);
+    this->chooseReaders(now);
+    this->tellOthers();
     this->catchUp(now);
     this->timer = this->loop.schedule(now + tickPeriod, [this] { this->tick(); });
 }
@@ -215,6 +223,41 @@
     this->hooks.hostsChanged(count);
 }
 
+// In a large fleet a few hosts of each zone follow the store, by rank; the others hear from them. A
+// host that is behind its own view of the ranks is one reader too many for a while, or too few,
+// which the other zones' readers cover.
+void ViewExchange::chooseReaders(Millis now)
+{
+    const std::vector<MemberInfo> members = this->membership.eligible(now);
+    const bool large = members.size() >= largeFleet;
+    std::size_t before = 0;
+    for (const MemberInfo &member : members)
+        before += member.zone == this->settings.zone && member.id < this->membership.own().id;
+    const bool next = large && before >= readersPerZone;
+    if (next == this->resting)
+        return;
+    this->resting = next;
+    this->hooks.restingChanged(next);
+}
+
+// Tells some hosts at once of a newer view, who ask for it and tell others.
+void ViewExchange::tellOthers()
+{
+    if (this->view.revision() == this->toldRevision || this->hosts < largeFleet)
+        return;
+    this->toldRevision = this->view.revision();
+    this->membership.setRevision({ this->toldRevision });
+    std::vector<MemberInfo> members = this->membership.others();
+    std::vector<OutgoingHeartbeat> out;
+    for (std::size_t i = 0; i < toldAtOnce && !members.empty(); ++i) {
+        const std::size_t at = this->random() % members.size();
+        if (members[at].state == MemberState::Alive)
+            this->membership.pingNow(members[at].id, SteadyClock::now(), out);
+        members.erase(members.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+    this->send(out);
+}
+
 void ViewExchange::catchUp(Millis now)
 {
     const auto [revision, host] = this->membership.highestRevision();
@@ -229,11 +272,11 @@
         this->revisionWhenBehind = revision.value;
     }
     const bool storeAnswers = this->hooks.storeAnswers();
-    if (storeAnswers && now - this->behindSince < patienceWithFeed)
+    if (storeAnswers && !this->resting && now - this->behindSince < patienceWithFeed)
         return;
     if (this->asking)
         return;
-    if (storeAnswers)
+    if (storeAnswers && !this->resting)
         this->hooks.feedIsBehind();
     this->ask(host);
 }
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
     std::function<void()> feedIsBehind;
     // The number of hosts that share budgets changed.
     std::function<void(std::uint32_t)> hostsChanged;
+    // Whether this host leaves the store to others of its zone changed.
+    std::function<void(bool)> restingChanged;
     // The other hosts that are alive, and have been for a while, changed.
     std::function<void(const std::vector<MemberInfo> &)> peersChanged;
     // A message of another host's gateway arrived, once.
@@ -80,6 +83,8 @@
     void onAnswer(const std::string &from, const HttpCallResult &result);
     void answer(HttpExchange &exchange);
     void countHosts(Millis now);
+    void chooseReaders(Millis now);
+    void tellOthers();
     std::string viewAddressOf(const std::string &heartbeatAddress) const;
     std::string heartbeatAddressOf(const std::string &viewAddress) const;
 
@@ -90,6 +95,7 @@
     Membership membership;
     std::unique_ptr<PeerLink> link;
     Incarnation linkIncarnation;
+    std::minstd_rand random;
     std::vector<HostId> seenAlive;
     // The life of each other host and since when it has been heard.
     std::map<HostId, std::pair<Incarnation, Millis>> heardSince;
@@ -99,6 +105,8 @@
     Millis behindSince = Millis::never();
     std::uint64_t revisionWhenBehind = 0;
     bool asking = false;
+    bool resting = false;
+    std::uint64_t toldRevision = 0;
     std::uint32_t hosts = 0;
     std::uint32_t mostHosts = 0;
     Millis mostHostsAt;
--- a/src/request/relayboard.cpp
+++ b/src/request/relayboard.cpp
@@ -13,21 +13,36 @@
     this->peers = std::move(next);
 }
 
-std::optional<HostId> RelayBoard::choose(const std::set<std::string> &zones, Millis now)
+std::vector<HostId> RelayBoard::owners(const std::string &zone, std::uint64_t key,
+                                       std::optional<HostId> self) const
+{
+    std::vector<std::pair<std::uint64_t, HostId>> ranked;
+    for (const RelayPeer &peer : this->peers) {
+        if (peer.zone == zone)
+            ranked.emplace_back(stableHash(peer.id.value, key), peer.id);
+    }
+    if (self)
+        ranked.emplace_back(stableHash(self->value, key), *self);
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<HostId> result;
+    for (std::size_t i = 0; i < std::min(ownersPerKey, ranked.size()); ++i)
+        result.push_back(ranked[i].second);
+    return result;
+}
+
+std::optional<HostId> RelayBoard::choose(const std::vector<HostId> &among, Millis now)
 {
     std::optional<HostId> best;
     double bestCost = 0;
-    for (const RelayPeer &peer : this->peers) {
-        if (!zones.contains(peer.zone))
-            continue;
-        const Record &record = this->records[peer.id];
+    for (const HostId host : among) {
+        const Record &record = this->records[host];
         if (now < record.avoidUntil)
             continue;
         const double draw = static_cast<double>(this->random() % 1000) / 1000;
         const double cost = (record.latency + 1) * (1 + record.open) * (1 + jitter * draw);
         if (best && cost >= bestCost)
             continue;
-        best = peer.id;
+        best = host;
         bestCost = cost;
     }
     return best;
--- a/src/request/relayboard.h
+++ b/src/request/relayboard.h
@@ -35,8 +35,16 @@
     // Sets the hosts that are alive now.
     void setPeers(std::vector<RelayPeer> peers);
 
-    // Returns a host in one of the zones, or nothing if none may be asked.
-    std::optional<HostId> choose(const std::set<std::string> &zones, Millis now);
+    // Returns the hosts of a zone that come first for a key by rendezvous hashing, self among them
+    // if it is in the zone. The same few hosts gather the same parts, so that they know the
+    // searchers and keep connections to them.
+    std::vector<HostId> owners(const std::string &zone, std::uint64_t key,
+                               std::optional<HostId> self) const;
+
+    // Returns one of the hosts, or nothing if none may be asked.
+    std::optional<HostId> choose(const std::vector<HostId> &among, Millis now);
+
+    static constexpr std::size_t ownersPerKey = 3;
 
     // Records a request that was sent, and its end.
     void onSent(HostId host);
--- a/src/request/relaydesk.cpp
+++ b/src/request/relaydesk.cpp
@@ -12,15 +12,18 @@
 
 // Fewer parts than this are cheaper to gather from afar.
 static constexpr std::size_t leastShare = 2;
+// Parts that one host gathers without help from its zone.
+static constexpr std::size_t mostHere = 32;
 // Time in which a host acknowledges a message if it runs and is reached.
 static constexpr Millis shortestAcknowledgeTime = Millis(40);
 static constexpr double acknowledgeRoundTrips = 3;
 
-RelayDesk::RelayDesk(EventLoop &loop, const ServingView &view, ScatterHost &scatters,
+RelayDesk::RelayDesk(EventLoop &loop, const ServingView &view, ScatterHost &scatters, HostId self,
                      std::string zone, std::uint64_t seed)
     : loop(loop)
     , view(view)
     , scatters(scatters)
+    , self(self)
     , zone(std::move(zone))
     , board(seed)
 {}
@@ -70,7 +73,9 @@
         if (shards.size() < leastShare)
             break;
         const std::string farZone = widest->first;
-        const std::optional<HostId> host = this->board.choose({ farZone }, now);
+        const std::uint64_t key = stableHash(route.shardPools[shards.front()]);
+        const std::optional<HostId> host
+                = this->board.choose(this->board.owners(farZone, key, std::nullopt), now);
         byZone.erase(widest);
         if (!host)
             continue;
@@ -81,9 +86,33 @@
             std::erase_if(rest, [&](std::uint32_t shard) { return !far.contains(shard); });
     }
     result.here.insert(result.here.end(), far.begin(), far.end());
+    this->shareNear(route, result, now);
     return result;
 }
 
+// Has the owners of the own zone take what is more than one host gathers quickly.
+void RelayDesk::shareNear(const Route &route, RelaySplit &split, Millis now)
+{
+    if (!this->send || !route.repeatable || split.here.size() <= mostHere)
+        return;
+    const std::vector<std::uint32_t> all = std::move(split.here);
+    split.here.clear();
+    const std::size_t groups = (all.size() + mostHere - 1) / mostHere;
+    for (std::size_t group = 0; group < groups; ++group) {
+        const auto begin = all.begin() + static_cast<std::ptrdiff_t>(all.size() * group / groups);
+        const auto end
+                = all.begin() + static_cast<std::ptrdiff_t>(all.size() * (group + 1) / groups);
+        const std::uint64_t key = stableHash(route.shardPools[*begin]);
+        const std::vector<HostId> owners = this->board.owners(this->zone, key, this->self);
+        const bool own = std::find(owners.begin(), owners.end(), this->self) != owners.end();
+        const std::optional<HostId> host = own ? std::nullopt : this->board.choose(owners, now);
+        if (host)
+            split.shares.push_back({ *host, this->zone, { begin, end } });
+        else
+            split.here.insert(split.here.end(), begin, end);
+    }
+}
+
 void RelayDesk::ask(HostId host, const RelayQuery &query, Millis due,
                     std::function<void(RelayResult &&)> done)
 {
--- a/src/request/relaydesk.h
+++ b/src/request/relaydesk.h
@@ -44,8 +44,8 @@
 class RelayDesk
 {
 public:
-    RelayDesk(EventLoop &loop, const ServingView &view, ScatterHost &scatters, std::string zone,
-              std::uint64_t seed);
+    RelayDesk(EventLoop &loop, const ServingView &view, ScatterHost &scatters, HostId self,
+              std::string zone, std::uint64_t seed);
 
     // Sets how messages reach another host's desk, how long the way there and back is, and for how
     // long a message has not been acknowledged. Without it nothing is relayed.
@@ -101,6 +101,7 @@
     };
 
     const std::set<std::string> &zonesOf(const std::string &pool);
+    void shareNear(const Route &route, RelaySplit &split, Millis now);
     Millis acknowledgeTime(HostId host) const;
     void onAskTimer(QueryId id);
     void giveUp(QueryId id, bool mayHaveRun);
@@ -112,6 +113,7 @@
     EventLoop &loop;
     const ServingView &view;
     ScatterHost &scatters;
+    HostId self;
     std::string zone;
     RelayBoard board;
     std::function<void(HostId, std::string)> send;
--- a/src/request/trackedsearcher.h
+++ b/src/request/trackedsearcher.h
@@ -39,8 +39,8 @@
     // Takes the searcher's word about its load.
     void onLoad(const LoadReport &report, Millis now);
 
-    // Returns the latency that an attempt sent now would have, on a route of a typical latency, with
-    // the reluctance.
+    // Returns the latency that an attempt sent now would have, on a route of a typical latency,
+    // with the reluctance.
     Millis cost(Millis typical, Millis now) const;
 
     // True while some attempt is open for much longer than usual.
