--- a/src/connection/dialect.cpp
+++ b/src/connection/dialect.cpp
@@ -108,7 +108,10 @@
             continue;
         if (sameName(name, this->names.requestId))
             result.requestId = value;
-        result.forwarded += name + ": " + value + "\r\n";
+        result.forwarded += name;
+        result.forwarded += ": ";
+        result.forwarded += value;
+        result.forwarded += "\r\n";
     }
     return result;
 }
--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -4,7 +4,7 @@
 #include "quetzal/fault.h"
 #include "quetzal/steadyclock.h"
 
-#include <unistd.h>
+#include <sstream>
 
 namespace quetzal {
 
@@ -56,6 +56,7 @@
     hooks.hostsChanged = [this](std::uint32_t count) { this->scatters.setHosts(count); };
     hooks.peersChanged = [this](const std::vector<MemberInfo> &alive) {
         std::vector<RelayPeer> peers;
+        peers.reserve(alive.size());
         for (const MemberInfo &member : alive)
             peers.push_back({ member.id, member.zone });
         this->relays.setPeers(std::move(peers));
@@ -85,6 +86,12 @@
             [this](const std::shared_ptr<HttpExchange> &exchange) {
                 this->onReadyCheck(*exchange);
             });
+    if (!this->settings.metricsAddress.empty())
+        this->metricsServer = HttpServer::listen(
+                this->loop, Poco::Net::SocketAddress(this->settings.metricsAddress), readyOptions,
+                [this](const std::shared_ptr<HttpExchange> &exchange) {
+                    this->onMetrics(*exchange);
+                });
     this->loop.onPause([this](Millis gap) {
         logEvent(LogEvent::ProcessPaused, "gap_ms=" + std::to_string(gap.count()));
         this->metrics.add(Counter::Pauses);
@@ -142,6 +149,20 @@
                      "text/plain");
 }
 
+void GatewayProcess::onMetrics(HttpExchange &exchange)
+{
+    std::ostringstream text;
+    text << this->metrics.text();
+    text << "quetzal_ready " << (this->isReady() ? 1 : 0) << "\n";
+    text << "quetzal_store_answers " << (this->feed->isHealthy() ? 1 : 0) << "\n";
+    text << "quetzal_tables_revision " << this->view.tablesRevision().value << "\n";
+    text << "quetzal_directory_revision " << this->view.revision() << "\n";
+    text << "quetzal_searchers " << this->view.directory().liveCount() << "\n";
+    text << "quetzal_running_requests " << this->gateway.runningRequests() << "\n";
+    text << "quetzal_caller_connections " << this->callers->connectionCount() << "\n";
+    exchange.respond(statusOk, {}, text.str(), "text/plain; version=0.0.4");
+}
+
 void GatewayProcess::onViewChange()
 {
     this->callers->setOptions(this->callerOptions());
--- a/src/process/gatewayprocess.h
+++ b/src/process/gatewayprocess.h
@@ -46,6 +46,7 @@
     bool isReady() const;
     void noteReadiness();
     void onReadyCheck(HttpExchange &exchange);
+    void onMetrics(HttpExchange &exchange);
     void onViewChange();
     void tick();
     void stopAccepting();
@@ -65,6 +66,7 @@
     std::unique_ptr<ViewExchange> exchange;
     std::shared_ptr<HttpServer> callers;
     std::shared_ptr<HttpServer> readiness;
+    std::shared_ptr<HttpServer> metricsServer;
     bool wasReady = false;
     bool stopping = false;
     bool cutOff = false;
--- a/src/process/gatewaysettings.cpp
+++ b/src/process/gatewaysettings.cpp
@@ -21,9 +21,9 @@
 }
 
 static std::string readAddress(YamlReader &reader, const YAML::Node &map, const char *field,
-                               const std::string &where)
+                               const std::string &where, bool required = true)
 {
-    std::string text = reader.text(map, field, where, true);
+    std::string text = reader.text(map, field, where, required);
     if (!text.empty() && !isAddress(text))
         reader.fail(map[field],
                     where + ": " + field + " \"" + text + "\" must be an IP number and a port");
@@ -73,11 +73,12 @@
     settings.zoneReluctance = Millis(reader.number(host, "zone_reluctance_ms", "host", 0, longestMs,
                                                    false, settings.zoneReluctance.count()));
     const YAML::Node listen = section(reader, root, "listen", true);
-    reader.allowOnly(listen, "listen", { "callers", "ready", "view", "heartbeat" });
+    reader.allowOnly(listen, "listen", { "callers", "ready", "view", "heartbeat", "metrics" });
     settings.callersAddress = readAddress(reader, listen, "callers", "listen");
     settings.readyAddress = readAddress(reader, listen, "ready", "listen");
     settings.viewAddress = readAddress(reader, listen, "view", "listen");
     settings.heartbeatAddress = readAddress(reader, listen, "heartbeat", "listen");
+    settings.metricsAddress = readAddress(reader, listen, "metrics", "listen", false);
     const YAML::Node store = section(reader, root, "store", true);
     reader.allowOnly(store, "store", { "address" });
     settings.storeAddress = readAddress(reader, store, "address", "store");
--- a/src/process/gatewaysettings.h
+++ b/src/process/gatewaysettings.h
@@ -21,6 +21,8 @@
     std::string viewAddress;
     // Heartbeats of other hosts arrive there. All hosts use the same port.
     std::string heartbeatAddress;
+    // Empty if no metrics are served.
+    std::string metricsAddress;
     std::string storeAddress;
     // View addresses of other hosts; some may be gone.
     std::vector<std::string> seeds;
--- a/src/request/scatterhost.cpp
+++ b/src/request/scatterhost.cpp
@@ -209,7 +209,7 @@
 ScatterHost::TargetPtr ScatterHost::makeTarget(const DirectoryRecord &record, Millis now)
 {
     const DirectoryEntry &entry = record.entry;
-    const auto target = std::make_shared<Target>();
+    auto target = std::make_shared<Target>();
     const bool isNear = entry.zone == this->options.zone;
     target->searcher = std::make_shared<TrackedSearcher>(
             entry, isNear ? Millis() : this->options.zoneDistance, now,
--- a/tests/platformtest.cpp
+++ b/tests/platformtest.cpp
@@ -32,18 +32,19 @@
         return read(text).state;
     };
     CHECK(broken("\"ready\"", "\"draining\"") == SearcherState::Draining);
-    for (const auto &[part, by] : std::vector<std::pair<std::string, std::string>>{
-                 { "\"ready\"", "\"resting\"" },
-                 { "\"ready\"", "3" },
-                 { "\"s\"", "7" },
-                 { "10.0.0.1:80", "nowhere" },
-                 { "\"maxConcurrency\":2", "\"maxConcurrency\":\"2\"" },
-                 { "\"maxConcurrency\":2", "\"maxConcurrency\":true" },
-                 { "\"sequence\":4", "\"other\":4" },
-                 { "\"born\":77", "\"born\":7.5" },
-                 { "}", "" } })
-        CHECK_MESSAGE(broken(part, by) == SearcherState::Gone, by);
-    CHECK(read("\xff\x00").state == SearcherState::Gone);
+    const std::vector<std::pair<std::string, std::string>> faults
+            = { { "\"ready\"", "\"resting\"" },
+                { "\"ready\"", "3" },
+                { "\"s\"", "7" },
+                { "10.0.0.1:80", "nowhere" },
+                { "\"maxConcurrency\":2", "\"maxConcurrency\":\"2\"" },
+                { "\"maxConcurrency\":2", "\"maxConcurrency\":true" },
+                { "\"sequence\":4", "\"other\":4" },
+                { "\"born\":77", "\"born\":7.5" },
+                { "}", "" } };
+    for (const auto &fault : faults)
+        CHECK_MESSAGE(broken(fault.first, fault.second) == SearcherState::Gone, fault.second);
+    CHECK(read("\xff\xfe").state == SearcherState::Gone);
     CHECK(read("[]").state == SearcherState::Gone);
 }
 
