--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -106,7 +106,7 @@
     start.plan.id = this->scatters.nextId();
     const Route &route = *entry.route;
     start.pools
-            = { this->scatters.pool(route.split.empty() ? route.pool : this->pickShare(route)) };
+            = { this->scatters.pool(route.split.empty() ? route.pool : this->splits.next(route)) };
     start.request = entry.request;
     start.pace = &this->relays.pace(route.name);
     start.done = [this, number](ScatterAnswer &&answer) {
@@ -214,26 +214,6 @@
                      });
 }
 
-// Smooth weighted round robin: every run of requests keeps the shares.
-const std::string &Gateway::pickShare(const Route &route)
-{
-    SplitState &state = this->splits[route.name];
-    if (state.shares != route.split) {
-        state.shares = route.split;
-        state.credit.assign(route.split.size(), 0);
-    }
-    double total = 0;
-    std::size_t best = 0;
-    for (std::size_t i = 0; i < state.shares.size(); ++i) {
-        state.credit[i] += state.shares[i].weight;
-        total += state.shares[i].weight;
-        if (state.credit[i] > state.credit[best])
-            best = i;
-    }
-    state.credit[best] -= total;
-    return route.split[best].pool;
-}
-
 void Gateway::takePart(Running &entry, std::uint32_t shard, const std::string &seal)
 {
     if (seal.empty() || !entry.seals[shard].empty())
--- a/src/request/gateway.h
+++ b/src/request/gateway.h
@@ -5,8 +5,8 @@
 #include "connection/httpserver.h"
 #include "request/relaydesk.h"
 #include "request/scatterhost.h"
+#include "request/trafficsplit.h"
 
-#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -65,12 +65,6 @@
         TimerId timer = 0;
     };
 
-    struct SplitState
-    {
-        std::vector<PoolShare> shares;
-        std::vector<double> credit;
-    };
-
     void begin(const std::shared_ptr<HttpExchange> &exchange, const Route &route,
                const CallerFields &fields, Millis now);
     void beginSingle(std::uint64_t number);
@@ -79,7 +73,6 @@
     void allow(Running &entry, const std::vector<std::uint32_t> &shards, const std::string &zone);
     void askRelay(std::uint64_t number, const RelayShare &share);
     ScatterPlan planFor(const Running &entry) const;
-    const std::string &pickShare(const Route &route);
     void onGathered(std::uint64_t number, QueryId batch, ScatterAnswer &&answer);
     void onRelayed(std::uint64_t number, QueryId batch, RelayResult &&result);
     void takePart(Running &entry, std::uint32_t shard, const std::string &seal);
@@ -104,7 +97,7 @@
     std::string zone;
     std::uint64_t lastNumber = 0;
     std::unordered_map<std::uint64_t, Running> running;
-    std::map<std::string, SplitState, std::less<>> splits;
+    TrafficSplit splits;
 };
 
 } // namespace quetzal
--- /dev/null
+++ b/src/request/trafficsplit.cpp
@@ -0,0 +1,24 @@
+#include "request/trafficsplit.h"
+
+namespace quetzal {
+
+const std::string &TrafficSplit::next(const Route &route)
+{
+    State &state = this->states[route.name];
+    if (state.shares != route.split) {
+        state.shares = route.split;
+        state.credit.assign(route.split.size(), 0);
+    }
+    double total = 0;
+    std::size_t best = 0;
+    for (std::size_t i = 0; i < state.shares.size(); ++i) {
+        state.credit[i] += state.shares[i].weight;
+        total += state.shares[i].weight;
+        if (state.credit[i] > state.credit[best])
+            best = i;
+    }
+    state.credit[best] -= total;
+    return route.split[best].pool;
+}
+
+} // namespace quetzal
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -5,6 +5,7 @@
 #include "request/recordmerge.h"
 #include "request/relayboard.h"
 #include "request/scatter.h"
+#include "request/trafficsplit.h"
 #include "version/codec.h"
 #include "version/servingview.h"
 
@@ -525,3 +526,21 @@
         kept += std::find(owners.begin(), owners.end(), host) != owners.end() ? 1 : 0;
     CHECK(kept + 1 == owners.size());
 }
+
+TEST_CASE("every run of requests keeps the shares of a split, and new shares begin anew")
+{
+    const PoolShare large = { "x", 3 };
+    const PoolShare small = { "y", 1 };
+    Route route;
+    route.name = "r";
+    route.split = { large, small };
+    TrafficSplit split;
+    int x = 0;
+    for (int i = 1; i <= 400; ++i) {
+        x += split.next(route) == "x" ? 1 : 0;
+        CHECK(x >= 0.75 * i - 1);
+        CHECK(x <= 0.75 * i + 1);
+    }
+    route.split = { small };
+    CHECK(split.next(route) == "y");
+}
