Tests of a whole gateway process: refusal without tables, merge, graceful stop, cancel

Change: gatewayprocesstest runs a process on loopback with a feed and searchers of its own; EventLoop::runOnce drives the test's loop. No change of behaviour.

--- a/src/process/eventloop.cpp
+++ b/src/process/eventloop.cpp
@@ -167,6 +167,24 @@
         handler(gap);
 }
 
+Poco::Net::PollSet::SocketModeMap EventLoop::waitForSockets(Millis wait)
+{
+    const auto waitMicros = static_cast<Poco::Timespan::TimeDiff>(std::ceil(wait.count()) * 1000);
+    return this->poll.poll(Poco::Timespan(waitMicros));
+}
+
+void EventLoop::work(const Poco::Net::PollSet::SocketModeMap &ready)
+{
+    this->dispatch(ready);
+    this->runTasks();
+    this->runTimers(SteadyClock::now());
+}
+
+void EventLoop::runOnce()
+{
+    this->work(this->waitForSockets(this->waitTime(SteadyClock::now())));
+}
+
 void EventLoop::run()
 {
     urcu_memb_register_thread();
@@ -175,9 +193,7 @@
     Millis suspendedBefore = SteadyClock::suspendedTime();
     while (!this->stopping) {
         const Millis wait = this->waitTime(tick);
-        const auto waitMicros
-                = static_cast<Poco::Timespan::TimeDiff>(std::ceil(wait.count()) * 1000);
-        const auto ready = this->poll.poll(Poco::Timespan(waitMicros));
+        const auto ready = this->waitForSockets(wait);
         const Millis now = SteadyClock::now();
         const Millis suspended = SteadyClock::suspendedTime();
         // From one tick's beginning to the next: covers a pause while waiting or working. The
@@ -187,9 +203,7 @@
         suspendedBefore = suspended;
         if (gap > pauseThreshold)
             this->notePause(gap);
-        this->dispatch(ready);
-        this->runTasks();
-        this->runTimers(SteadyClock::now());
+        this->work(ready);
     }
     this->runTasks();
     this->runner = std::thread::id();
--- a/src/process/eventloop.h
+++ b/src/process/eventloop.h
@@ -48,6 +48,9 @@
     void run();
     void stop();
 
+    // Waits for at most longestWait and does what is due then. For a loop that run does not drive.
+    void runOnce();
+
     // Runs the task on the loop's thread, in the order of posting per thread.
     void post(Task task);
 
@@ -73,6 +76,8 @@
         Task task;
     };
 
+    Poco::Net::PollSet::SocketModeMap waitForSockets(Millis wait);
+    void work(const Poco::Net::PollSet::SocketModeMap &ready);
     Millis waitTime(Millis now) const;
     void runTasks();
     void runTimers(Millis now);
--- /dev/null
+++ b/tests/gatewayprocesstest.cpp
@@ -0,0 +1,241 @@
+// A whole gateway process on loopback, with a feed and searchers of the test's own.
+#include "process/gatewayprocess.h"
+#include "connection/httpclient.h"
+#include "quetzal/steadyclock.h"
+
+#include <atomic>
+#include <map>
+#include <thread>
+
+#include <Poco/Net/ServerSocket.h>
+#include <doctest/doctest.h>
+
+using namespace quetzal;
+
+namespace {
+
+std::string freeAddress()
+{
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return socket.address().toString();
+}
+
+class FakeFeed final : public ViewFeed
+{
+public:
+    void start() override {}
+    bool isHealthy() const override { return true; }
+    void setResting(bool) override {}
+    void refresh() override {}
+};
+
+// A searcher that answers each request with its own seal and one record, after a while.
+class EchoSearcher
+{
+public:
+    EchoSearcher(EventLoop &loop, std::string seal, Millis delay)
+        : server(HttpServer::listen(
+                loop, Poco::Net::SocketAddress("127.0.0.1", 0), HttpServerOptions(),
+                [this, &loop, seal, delay](const std::shared_ptr<HttpExchange> &exchange) {
+                    this->taken += 1;
+                    exchange->onGone([this] { this->gone += 1; });
+                    const std::vector<HttpField> fields
+                            = { { "X-Quetzal-Seal", seal },
+                                { "X-Quetzal-Request-Id",
+                                  exchange->request().head.get("X-Quetzal-Request-Id", "") } };
+                    loop.schedule(SteadyClock::now() + delay, [exchange, fields, seal] {
+                        exchange->respond(200, fields, std::string(16, seal.front()), "");
+                    });
+                }))
+    {}
+
+    std::string address() const { return this->server->address().toString(); }
+
+    int taken = 0;
+    int gone = 0;
+
+private:
+    std::shared_ptr<HttpServer> server;
+};
+
+// Runs a gateway on a thread of its own, and callers and searchers on the test's loop.
+class ProcessBench
+{
+public:
+    explicit ProcessBench(Millis delay)
+        : first(this->loop, "a", delay)
+        , second(this->loop, "b", delay)
+    {
+        this->settings.name = "host";
+        this->settings.zone = "z";
+        this->settings.callersAddress = freeAddress();
+        this->settings.readyAddress = freeAddress();
+        this->settings.viewAddress = freeAddress();
+        this->settings.heartbeatAddress = freeAddress();
+        this->settings.storeAddress = freeAddress();
+        this->settings.grace = Millis(1500);
+        this->process = std::make_unique<GatewayProcess>(
+                this->settings, HeaderNames(),
+                [this](EventLoop &, const std::string &, ServingView &view) {
+                    this->view = &view;
+                    return std::make_unique<FakeFeed>();
+                });
+        this->process->everyTick([this] { this->onTick(); });
+        this->runner = std::thread([this] { this->clean = this->process->run(); });
+    }
+
+    ~ProcessBench()
+    {
+        this->stop = true;
+        if (this->runner.joinable())
+            this->runner.join();
+    }
+
+    // Sends a request and returns the response, or nothing after two seconds.
+    std::optional<HttpResponse> get(const std::string &target)
+    {
+        std::optional<HttpResponse> result;
+        bool over = false;
+        this->send(target, [&](const HttpResponse &response) {
+            result = response;
+            over = true;
+        });
+        this->runUntil([&] { return over; });
+        return result;
+    }
+
+    std::shared_ptr<HttpClient> send(const std::string &target,
+                                     std::function<void(const HttpResponse &)> done)
+    {
+        const auto holder = std::make_shared<std::shared_ptr<HttpClient>>();
+        HttpClientCallbacks callbacks;
+        callbacks.onConnected = [holder, target] {
+            (*holder)->send(
+                    "GET", target,
+                    { { "X-Quetzal-Request-Id", target }, { "X-Quetzal-Deadline-Ms", "900" } }, "");
+        };
+        callbacks.onResponse = std::move(done);
+        *holder = HttpClient::connect(this->loop, this->settings.callersAddress, callbacks);
+        this->clients.push_back(holder);
+        return *holder;
+    }
+
+    // Turns the test's loop until a condition holds, for two seconds at most.
+    void runUntil(const std::function<bool()> &condition)
+    {
+        const Millis until = SteadyClock::now() + Millis(2000);
+        while (!condition() && SteadyClock::now() < until)
+            this->loop.runOnce();
+    }
+
+    void serveView()
+    {
+        this->giveView = true;
+        this->runUntil([this] { return this->viewGiven.load(); });
+    }
+
+    EventLoop loop;
+    EchoSearcher first;
+    EchoSearcher second;
+    GatewaySettings settings;
+    std::atomic<bool> giveView = false;
+    std::atomic<bool> viewGiven = false;
+    std::atomic<bool> stop = false;
+    std::atomic<bool> clean = false;
+    std::thread runner;
+
+private:
+    // On the process's loop.
+    void onTick()
+    {
+        if (this->stop.exchange(false))
+            this->process->shutdown();
+        if (!this->giveView.exchange(false))
+            return;
+        Tables tables;
+        tables.revision = { 1 };
+        Route merged;
+        merged.name = "all";
+        merged.pathPrefix = "/all/";
+        merged.shardPools = { "a", "b" };
+        merged.target = Millis(700);
+        merged.deadline = Millis(900);
+        Route single = merged;
+        single.name = "one";
+        single.pathPrefix = "/one/";
+        single.shardPools.clear();
+        single.pool = "a";
+        tables.routes = { merged, single };
+        std::vector<DirectoryEntry> entries;
+        for (const auto &[pool, address] : std::map<std::string, std::string>{
+                     { "a", this->first.address() }, { "b", this->second.address() } }) {
+            DirectoryEntry entry;
+            entry.id = "searcher-" + pool;
+            entry.pool = pool;
+            entry.address = address;
+            entry.zone = "z";
+            entry.revision = 1;
+            entries.push_back(entry);
+        }
+        this->view->takeTables(std::move(tables));
+        this->view->takeListing(entries, 1, SteadyClock::now());
+        this->viewGiven = true;
+    }
+
+    ServingView *view = nullptr;
+    std::unique_ptr<GatewayProcess> process;
+    std::vector<std::shared_ptr<std::shared_ptr<HttpClient>>> clients;
+};
+
+} // namespace
+
+TEST_CASE("a gateway refuses without tables, and then serves, merges and knows what has no route")
+{
+    ProcessBench bench(Millis(5));
+    const auto early = bench.get("/all/x");
+    REQUIRE(early);
+    CHECK(early->head.getStatus() == 503);
+    CHECK(early->head.has("Retry-After"));
+    bench.serveView();
+    const auto merged = bench.get("/all/x");
+    REQUIRE(merged);
+    CHECK(merged->head.getStatus() == 200);
+    CHECK(merged->head.get("X-Quetzal-Parts") == "a, b");
+    CHECK(merged->head.get("X-Quetzal-Missing-Parts") == "0");
+    CHECK(merged->body == std::string(16, 'b') + std::string(16, 'a'));
+    const auto single = bench.get("/one/x");
+    REQUIRE(single);
+    CHECK(single->head.get("X-Quetzal-Seal") == "a");
+    const auto none = bench.get("/none/x");
+    REQUIRE(none);
+    CHECK(none->head.getStatus() == 404);
+}
+
+TEST_CASE("a graceful stop answers what it has read, and says that the connection ends")
+{
+    ProcessBench bench(Millis(400));
+    bench.serveView();
+    std::optional<HttpResponse> answer;
+    bench.send("/one/x", [&](const HttpResponse &response) { answer = response; });
+    bench.runUntil([&] { return bench.first.taken == 1; });
+    bench.stop = true;
+    bench.runUntil([&] { return answer.has_value(); });
+    REQUIRE(answer);
+    CHECK(answer->head.getStatus() == 200);
+    CHECK_FALSE(answer->head.getKeepAlive());
+    bench.runner.join();
+    CHECK(bench.clean);
+}
+
+TEST_CASE("what a caller waits for no more is cancelled at the searcher")
+{
+    ProcessBench bench(Millis(1500));
+    bench.serveView();
+    const auto client = bench.send("/one/x", [](const HttpResponse &) {});
+    bench.runUntil([&] { return bench.first.taken == 1; });
+    client->close();
+    const Millis closedAt = SteadyClock::now();
+    bench.runUntil([&] { return bench.first.gone == 1; });
+    CHECK(bench.first.gone == 1);
+    CHECK(SteadyClock::now() - closedAt < Millis(1000));
+}
