Any host that is ahead is asked for its view; many registrations are told once

A reader also walked the whole directory for each of up to 1,000 events. Ruled out: readers cut off (they had the tables). The leak that the sanitizer found in the new process test is mended: its clients are closed. Change: one of the hosts that are ahead, at random; events of one watch are taken together. Tests: membershiptest, gatewaytest.

--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -467,6 +467,17 @@
     return best;
 }
 
+std::vector<HostId> Membership::aheadOf(Revision revision) const
+{
+    std::vector<HostId> result;
+    for (const auto &[id, member] : this->members) {
+        if (member.info.revision > revision && serves(member.info.state))
+            result.push_back(id);
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
 std::size_t Membership::stateBytes() const
 {
     std::size_t bytes = sizeof(*this) + this->rotation.capacity() * sizeof(HostId)
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -150,6 +150,9 @@
     // Returns the highest revision any host has told of, and a host that has it.
     std::pair<Revision, HostId> highestRevision() const;
 
+    // Returns the hosts that told of a higher revision than the given one and may still serve.
+    std::vector<HostId> aheadOf(Revision revision) const;
+
     const MemberInfo &own() const { return this->self; }
 
     // Returns the bytes of state kept for the hosts, without the allocator's own cost.
--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -260,8 +260,8 @@
 
 void ViewExchange::catchUp(Millis now)
 {
-    const auto [revision, host] = this->membership.highestRevision();
-    if (revision.value <= this->view.revision()) {
+    const std::vector<HostId> ahead = this->membership.aheadOf({ this->view.revision() });
+    if (ahead.empty()) {
         this->behindSince = Millis::never();
         return;
     }
@@ -269,7 +269,7 @@
                        || this->view.revision() >= this->revisionWhenBehind;
     if (fresh) {
         this->behindSince = now;
-        this->revisionWhenBehind = revision.value;
+        this->revisionWhenBehind = this->membership.highestRevision().first.value;
     }
     const bool storeAnswers = this->hooks.storeAnswers();
     if (storeAnswers && !this->resting && now - this->behindSince < patienceWithFeed)
@@ -278,7 +278,8 @@
         return;
     if (storeAnswers && !this->resting)
         this->hooks.feedIsBehind();
-    this->ask(host);
+    // Any of them: all hosts that are behind would ask the same one for the highest.
+    this->ask(ahead[this->random() % ahead.size()]);
 }
 
 void ViewExchange::ask(HostId host)
--- a/src/version/servingview.cpp
+++ b/src/version/servingview.cpp
@@ -28,15 +28,20 @@
     this->notify(this->searchers.apply(entry, now));
 }
 
+void ServingView::takeEntries(const std::vector<DirectoryEntry> &entries, Millis now)
+{
+    bool any = false;
+    for (const DirectoryEntry &entry : entries)
+        any = this->searchers.apply(entry, now) || any;
+    this->notify(any);
+}
+
 void ServingView::takeListing(const std::vector<DirectoryEntry> &listing, std::uint64_t complete,
                               Millis now)
 {
     // An old listing, from a source that lags, cannot tell what has ended.
     if (complete < this->searchers.revision()) {
-        bool any = false;
-        for (const DirectoryEntry &entry : listing)
-            any = this->searchers.apply(entry, now) || any;
-        this->notify(any);
+        this->takeEntries(listing, now);
         return;
     }
     this->notify(this->searchers.reconcile(listing, complete, now));
@@ -55,11 +60,8 @@
         this->takeListing(delta.entries, delta.complete, now);
         return;
     }
-    bool any = false;
-    for (const DirectoryEntry &entry : delta.entries)
-        any = this->searchers.apply(entry, now) || any;
     this->takeComplete(delta.complete);
-    this->notify(any);
+    this->takeEntries(delta.entries, now);
 }
 
 ViewDelta ServingView::delta(std::uint64_t after, Revision tablesRevision) const
--- a/src/version/servingview.h
+++ b/src/version/servingview.h
@@ -42,6 +42,9 @@
     // Takes one registration.
     void takeEntry(const DirectoryEntry &entry, Millis now);
 
+    // Takes several registrations, and tells of them once.
+    void takeEntries(const std::vector<DirectoryEntry> &entries, Millis now);
+
     // Takes a whole listing up to a revision.
     void takeListing(const std::vector<DirectoryEntry> &listing, std::uint64_t complete,
                      Millis now);
--- a/tests/gatewayprocesstest.cpp
+++ b/tests/gatewayprocesstest.cpp
@@ -89,6 +89,9 @@
         this->stop = true;
         if (this->runner.joinable())
             this->runner.join();
+        // The callbacks of a client hold it.
+        for (const auto &client : this->clients)
+            (*client)->close();
     }
 
     // Sends a request and returns the response, or nothing after two seconds.
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -544,3 +544,16 @@
     route.split = { small };
     CHECK(split.next(route) == "y");
 }
+
+TEST_CASE("many changes of the directory are told once")
+{
+    ServingView view;
+    int told = 0;
+    view.onChange([&] { told += 1; });
+    view.takeEntries({ registration("a", 1), registration("b", 2), registration("c", 3) },
+                     Millis(0));
+    CHECK(told == 1);
+    CHECK(view.directory().liveCount() == 3);
+    view.takeEntries({ registration("a", 1) }, Millis(1));
+    CHECK(told == 1);
+}
--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -120,3 +120,23 @@
     fleet.runUntil(Millis(10'000));
     CHECK(fleet.believersOfDeath(7) == setup.hosts - 1);
 }
+
+TEST_CASE("every host that is ahead and serves may be asked, not only the first")
+{
+    MemberInfo self;
+    self.id = { 1 };
+    Membership membership(self, MembershipTimes(), 1);
+    std::vector<OutgoingHeartbeat> out;
+    for (std::uint64_t i = 2; i <= 5; ++i) {
+        Heartbeat heartbeat;
+        heartbeat.sender.id = { i };
+        heartbeat.sender.incarnation = { 1 };
+        heartbeat.sender.revision = { i };
+        heartbeat.sender.state = i == 5 ? MemberState::Leaving : MemberState::Alive;
+        membership.onHeartbeat(heartbeat, Millis(0), out);
+        // A host is introduced by its first heartbeat, its revision comes with the next.
+        membership.onHeartbeat(heartbeat, Millis(1), out);
+    }
+    CHECK(membership.aheadOf({ 2 }) == std::vector<HostId>{ { 3 }, { 4 } });
+    CHECK(membership.aheadOf({ 9 }).empty());
+}
