A request's next attempt on a searcher goes over another connection

Ruled out: the merge of relays' records (all parts of that answer were gathered by one host), seals (each was of this request). Change: a connection carries no second attempt of the request it carried last; one whose reply bore no seal is closed.

--- a/src/connection/searcherlink.cpp
+++ b/src/connection/searcherlink.cpp
@@ -86,6 +86,11 @@
             this->drop(connection);
             continue;
         }
+        if (!connection->lastRequest.empty()
+            && connection->lastRequest == this->waiting.back().request->requestId) {
+            this->drop(connection);
+            continue;
+        }
         // The latest one has most time left; under overload the oldest would all come too late.
         Work next = std::move(this->waiting.back());
         this->waiting.pop_back();
@@ -145,6 +150,7 @@
     }
     if (work.request->method == "HEAD")
         connection->reader.expectNoBody();
+    connection->lastRequest = work.request->requestId;
     connection->abandoned = false;
     connection->giveUpAt = work.deadline + silenceTime;
     connection->writtenBefore = connection->stream->bytesWritten();
@@ -223,7 +229,8 @@
         this->callbacks.onLoad(*reply.load);
     const bool surplus = connection->reader.hasPartial();
     connection->work.reset();
-    this->release(connection, keepAlive && !surplus && connection->reusable);
+    const bool sound = connection->reusable && outcome.code != Fault::ReplyMismatch;
+    this->release(connection, keepAlive && !surplus && sound);
     this->callbacks.onEnd(id, outcome, std::move(reply));
     this->pump();
     return true;
--- a/src/connection/searcherlink.h
+++ b/src/connection/searcherlink.h
@@ -84,6 +84,8 @@
         std::optional<Work> work;
         bool abandoned = false;
         bool reusable = true;
+        // A late second reply to that request could be taken for the reply to its next attempt.
+        std::string lastRequest;
         bool answeredBefore = false;
         Millis openedAt;
         // Since when it is idle, or if busy, when to give up on it.
--- a/tests/searcherlinktest.cpp
+++ b/tests/searcherlinktest.cpp
@@ -269,3 +269,25 @@
     for (const std::uint32_t ordinal : { 0U, 1U, 2U })
         CHECK(bench.ended.at(ordinal).outcome.succeeded());
 }
+
+TEST_CASE("a request's next attempt on a searcher goes over another connection")
+{
+    const std::string failure
+            = "HTTP/1.1 500 Oops\r\nX-Quetzal-Seal: s\r\nContent-Length: 0\r\n\r\n";
+    LinkBench bench({ { failure }, { replyFor("r0") } });
+    bench.submit(0, "r0");
+    bench.followUp = [&] { bench.submit(1, "r0"); };
+    bench.run(2);
+    CHECK(bench.ended.at(1).outcome.succeeded());
+    CHECK(bench.searcher->accepted == 2);
+}
+
+TEST_CASE("a connection whose reply bore no seal is not used again")
+{
+    LinkBench bench({ { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }, { replyFor("r1") } });
+    bench.submit(0, "r0");
+    bench.followUp = [&] { bench.submit(1, "r1"); };
+    bench.run(2);
+    CHECK(bench.ended.at(1).outcome.succeeded());
+    CHECK(bench.searcher->accepted == 2);
+}
