Answers that end a connection reach callers that still send

Cause: after a refusal of an oversize or malformed request, or any answer that ends its connection, the socket was closed with the caller's bytes unread. The kernel then resets the connection, and the reset can overtake the answer: the caller saw no 413 or 400.

Ruled out: reading the whole body before refusing (a caller could hold the host as long as it likes).

Change: once the answer is out, the host ends its own direction and takes and drops what comes for at most 500 ms, until the caller closes. Tests about relays have a file of their own.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -10,6 +10,9 @@
 
 static constexpr int listenBacklog = 512;
 static constexpr int requestTimeout = 408;
+// Time for which bytes of a caller that is being left are still taken: closing before they are read
+// would reset the connection, and the answer with it.
+static constexpr Millis lingerTime = Millis(500);
 
 // One caller's connection. Handles one request at a time; later ones wait in the buffer.
 class HttpServerConnection final : public std::enable_shared_from_this<HttpServerConnection>
@@ -61,7 +64,7 @@
     void closeGracefully()
     {
         this->closeAfterAnswer = true;
-        if (!this->current && !this->reader.hasPartial())
+        if (!this->leaving && !this->current && !this->reader.hasPartial())
             this->drop();
     }
 
@@ -145,10 +148,18 @@
     void closeWhenSent()
     {
         this->loop.cancel(this->timer);
-        if (!this->stream->isOpen() || this->stream->backlog() == 0) {
+        this->silent = true;
+        if (!this->stream->isOpen()) {
             this->drop();
             return;
         }
+        if (this->stream->backlog() == 0) {
+            this->leaving = true;
+            this->stream->endWriting();
+            this->timer = this->loop.schedule(SteadyClock::now() + lingerTime,
+                                              [self = this->shared_from_this()] { self->drop(); });
+            return;
+        }
         static constexpr Millis pollTime = Millis(5);
         this->timer
                 = this->loop.schedule(SteadyClock::now() + pollTime,
@@ -194,6 +205,8 @@
     TimerId timer = 0;
     bool closeAfterAnswer = false;
     bool silent = false;
+    // Everything is sent; what the caller still sends is taken and dropped.
+    bool leaving = false;
 };
 
 void HttpExchange::respond(int status, const std::vector<HttpField> &fields,
--- a/src/connection/tcpstream.cpp
+++ b/src/connection/tcpstream.cpp
@@ -172,6 +172,18 @@
         onClosed();
 }
 
+void TcpStream::endWriting()
+{
+    if (!this->open)
+        return;
+    try {
+        this->socket.shutdownSend();
+    } catch (const Poco::Exception &) {
+        // The peer is gone already, which the next read tells.
+        return;
+    }
+}
+
 void TcpStream::close()
 {
     if (!this->open)
--- a/src/connection/tcpstream.h
+++ b/src/connection/tcpstream.h
@@ -40,6 +40,9 @@
     // Sends what the kernel takes now and the rest when it can.
     void write(std::string_view bytes);
 
+    // Tells the peer that nothing more is written. Call once the backlog is empty.
+    void endWriting();
+
     // Ends the connection without a callback.
     void close();
 
--- a/tests/gatewayprocesstest.cpp
+++ b/tests/gatewayprocesstest.cpp
@@ -131,8 +131,11 @@
             this->loop.runOnce();
     }
 
-    void serveView()
+    // Puts tables in force whose merged route has the given pools.
+    void serveView(std::vector<std::string> pools = { "a", "b" })
     {
+        this->mergedPools = std::move(pools);
+        this->viewGiven = false;
         this->giveView = true;
         this->runUntil([this] { return this->viewGiven.load(); });
     }
@@ -156,11 +159,11 @@
         if (!this->giveView.exchange(false))
             return;
         Tables tables;
-        tables.revision = { 1 };
+        tables.revision = { ++this->revision };
         Route merged;
         merged.name = "all";
         merged.pathPrefix = "/all/";
-        merged.shardPools = { "a", "b" };
+        merged.shardPools = this->mergedPools;
         merged.target = Millis(700);
         merged.deadline = Millis(900);
         Route single = merged;
@@ -177,14 +180,16 @@
             entry.pool = pool;
             entry.address = address;
             entry.zone = "z";
-            entry.revision = 1;
+            entry.revision = this->revision;
             entries.push_back(entry);
         }
         this->view->takeTables(std::move(tables));
-        this->view->takeListing(entries, 1, SteadyClock::now());
+        this->view->takeListing(entries, this->revision, SteadyClock::now());
         this->viewGiven = true;
     }
 
+    std::vector<std::string> mergedPools;
+    std::uint64_t revision = 0;
     ServingView *view = nullptr;
     std::unique_ptr<GatewayProcess> process;
     std::vector<std::shared_ptr<std::shared_ptr<HttpClient>>> clients;
@@ -214,6 +219,24 @@
     CHECK(none->head.getStatus() == 404);
 }
 
+TEST_CASE("a request keeps to the pools of the tables that it began with")
+{
+    ProcessBench bench(Millis(300));
+    bench.serveView({ "a", "b" });
+    std::optional<HttpResponse> before;
+    bench.send("/all/x", [&](const HttpResponse &response) { before = response; });
+    bench.runUntil([&] { return bench.first.taken == 1 && bench.second.taken == 1; });
+    bench.serveView({ "b" });
+    CHECK_FALSE(before);
+    const auto after = bench.get("/all/y");
+    REQUIRE(before);
+    CHECK(before->head.get("X-Quetzal-Parts") == "a, b");
+    CHECK(before->head.get("X-Quetzal-Missing-Parts") == "0");
+    REQUIRE(after);
+    CHECK(after->head.get("X-Quetzal-Parts") == "b");
+    CHECK(after->head.get("X-Quetzal-Missing-Parts") == "0");
+}
+
 TEST_CASE("a graceful stop answers what it has read, and says that the connection ends")
 {
     ProcessBench bench(Millis(400));
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -3,7 +3,6 @@
 #include "process/membership.h"
 #include "quetzal/fault.h"
 #include "request/recordmerge.h"
-#include "request/relayboard.h"
 #include "request/scatter.h"
 #include "request/trafficsplit.h"
 #include "version/codec.h"
@@ -459,35 +458,6 @@
     REQUIRE(again.answer);
 }
 
-TEST_CASE("a relay that is overdue is left alone, longer each time, until it answers")
-{
-    RelayBoard board(1);
-    const HostId near = { 1 };
-    const HostId far = { 2 };
-    board.setPeers({ { near, "a" }, { far, "b" } });
-    CHECK(board.owners("a", 7, std::nullopt) == std::vector<HostId>{ near });
-    CHECK(board.owners("c", 7, std::nullopt).empty());
-    CHECK(board.choose({ near }, Millis(0)) == near);
-    CHECK_FALSE(board.choose({}, Millis(0)));
-    board.onOverdue(near, Millis(0));
-    CHECK_FALSE(board.choose({ near }, RelayBoard::avoidTime - Millis(1)));
-    CHECK(board.choose({ near }, RelayBoard::avoidTime));
-    board.onOverdue(near, RelayBoard::avoidTime);
-    CHECK_FALSE(board.choose({ near }, RelayBoard::avoidTime * 2.5));
-    board.onAnswer(near, Millis(20));
-    CHECK(board.choose({ near }, RelayBoard::avoidTime * 2.5));
-}
-
-TEST_CASE("a relay with more work open is asked less")
-{
-    RelayBoard board(1);
-    board.setPeers({ { { 1 }, "a" }, { { 2 }, "a" } });
-    for (int i = 0; i < 5; ++i)
-        board.onSent({ 1 });
-    for (int i = 0; i < 20; ++i)
-        CHECK(board.choose({ { 1 }, { 2 } }, Millis(0)) == HostId{ 2 });
-}
-
 TEST_CASE("the own zone's searcher is preferred until it keeps refusing")
 {
     ShardPool pool("p", RetryWindowOptions(), 1);
@@ -508,25 +478,6 @@
     CHECK(pool.choose({}, Millis(20), Millis(3), true) == far);
 }
 
-TEST_CASE("the same few hosts own a key, and a host that is gone gives its place to one other")
-{
-    RelayBoard board(1);
-    std::vector<RelayPeer> peers;
-    for (std::uint64_t i = 1; i <= 21; ++i)
-        peers.push_back({ { i }, "a" });
-    board.setPeers(peers);
-    const std::vector<HostId> owners = board.owners("a", 5, HostId{ 22 });
-    REQUIRE(owners.size() == RelayBoard::ownersPerKey);
-    CHECK(owners == board.owners("a", 5, HostId{ 22 }));
-    std::erase_if(peers, [&](const RelayPeer &peer) { return peer.id == owners.front(); });
-    board.setPeers(peers);
-    const std::vector<HostId> next = board.owners("a", 5, HostId{ 22 });
-    std::size_t kept = 0;
-    for (const HostId host : next)
-        kept += std::find(owners.begin(), owners.end(), host) != owners.end() ? 1 : 0;
-    CHECK(kept + 1 == owners.size());
-}
-
 TEST_CASE("every run of requests keeps the shares of a split, and new shares begin anew")
 {
     const PoolShare large = { "x", 3 };
--- a/tests/iotest.cpp
+++ b/tests/iotest.cpp
@@ -9,6 +9,7 @@
 #include "request/callerrequest.h"
 #include "request/hitjson.h"
 
+#include <array>
 #include <fstream>
 #include <sstream>
 
@@ -178,6 +179,40 @@
     CHECK(received == large.size());
 }
 
+TEST_CASE("a refusal reaches a caller that goes on sending")
+{
+    EventLoop loop;
+    HttpServerOptions options;
+    options.limits.body = 100;
+    const auto server
+            = HttpServer::listen(loop, Poco::Net::SocketAddress("127.0.0.1", 0), options,
+                                 [](const std::shared_ptr<HttpExchange> &) { CHECK(false); });
+    Poco::Net::StreamSocket caller(server->address());
+    std::string sent = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n";
+    sent.append(150'000, 'x');
+    caller.sendBytes(sent.data(), static_cast<int>(sent.size()));
+    std::string received;
+    caller.setBlocking(false);
+    const Millis until = SteadyClock::now() + Millis(2000);
+    bool over = false;
+    while (!over && SteadyClock::now() < until) {
+        loop.runOnce();
+        std::array<char, 4096> chunk;
+        try {
+            const int count = caller.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
+            over = count == 0;
+            received.append(chunk.data(), static_cast<std::size_t>(std::max(0, count)));
+        } catch (const Poco::TimeoutException &) {
+            continue;
+        } catch (const Poco::Exception &) {
+            received = "reset";
+            over = true;
+        }
+    }
+    CHECK(received.starts_with("HTTP/1.1 413 "));
+    CHECK(over);
+}
+
 TEST_CASE("a client that closes its connection in the middle of a call is let go safely")
 {
     EventLoop loop;
--- /dev/null
+++ b/tests/relaytest.cpp
@@ -0,0 +1,99 @@
+// Which other host gathers parts of a request, and what it takes on.
+#include "quetzal/fault.h"
+#include "request/relayboard.h"
+#include "request/relaydesk.h"
+#include "version/codec.h"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+using namespace quetzal;
+
+TEST_CASE("a relay that is overdue is left alone, longer each time, until it answers")
+{
+    RelayBoard board(1);
+    const HostId near = { 1 };
+    const HostId far = { 2 };
+    board.setPeers({ { near, "a" }, { far, "b" } });
+    CHECK(board.owners("a", 7, std::nullopt) == std::vector<HostId>{ near });
+    CHECK(board.owners("c", 7, std::nullopt).empty());
+    CHECK(board.choose({ near }, Millis(0)) == near);
+    CHECK_FALSE(board.choose({}, Millis(0)));
+    board.onOverdue(near, Millis(0));
+    CHECK_FALSE(board.choose({ near }, RelayBoard::avoidTime - Millis(1)));
+    CHECK(board.choose({ near }, RelayBoard::avoidTime));
+    board.onOverdue(near, RelayBoard::avoidTime);
+    CHECK_FALSE(board.choose({ near }, RelayBoard::avoidTime * 2.5));
+    board.onAnswer(near, Millis(20));
+    CHECK(board.choose({ near }, RelayBoard::avoidTime * 2.5));
+}
+
+TEST_CASE("a relay with more work open is asked less")
+{
+    RelayBoard board(1);
+    board.setPeers({ { { 1 }, "a" }, { { 2 }, "a" } });
+    for (int i = 0; i < 5; ++i)
+        board.onSent({ 1 });
+    for (int i = 0; i < 20; ++i)
+        CHECK(board.choose({ { 1 }, { 2 } }, Millis(0)) == HostId{ 2 });
+}
+
+TEST_CASE("the same few hosts own a key, and a host that is gone gives its place to one other")
+{
+    RelayBoard board(1);
+    std::vector<RelayPeer> peers;
+    for (std::uint64_t i = 1; i <= 21; ++i)
+        peers.push_back({ { i }, "a" });
+    board.setPeers(peers);
+    const std::vector<HostId> owners = board.owners("a", 5, HostId{ 22 });
+    REQUIRE(owners.size() == RelayBoard::ownersPerKey);
+    CHECK(owners == board.owners("a", 5, HostId{ 22 }));
+    std::erase_if(peers, [&](const RelayPeer &peer) { return peer.id == owners.front(); });
+    board.setPeers(peers);
+    const std::vector<HostId> next = board.owners("a", 5, HostId{ 22 });
+    std::size_t kept = 0;
+    for (const HostId host : next)
+        kept += std::find(owners.begin(), owners.end(), host) != owners.end() ? 1 : 0;
+    CHECK(kept + 1 == owners.size());
+}
+
+TEST_CASE("parts are not gathered for a host whose tables are others")
+{
+    EventLoop loop;
+    Metrics metrics("test");
+    const Dialect dialect{ HeaderNames() };
+    ServingView view;
+    Tables tables;
+    tables.revision = { 7 };
+    Route route;
+    route.name = std::string("all");
+    route.shardPools = { "a", "b" };
+    tables.routes = { route };
+    view.takeTables(std::move(tables));
+    ScatterHost scatters(loop, metrics, dialect, view, ScatterHostOptions());
+    RelayDesk desk(loop, view, scatters, HostId{ 1 }, "z", 1);
+    std::vector<RelayAnswer> answers;
+    desk.setSender(
+            [&](HostId, const std::string &payload) {
+                answers.push_back(decode<RelayAnswer>(payload.substr(1)).value());
+            },
+            [](HostId) { return Millis(1); }, [](HostId) { return Millis(0); });
+    RelayQuery query;
+    query.route = std::string("all");
+    query.shards = { 0, 1 };
+    query.deadlineMs = 100;
+    for (const std::uint64_t revision : { 6, 8, 7 }) {
+        query.number = revision;
+        query.tables = { revision };
+        desk.onMessage(HostId{ 2 }, packRelay(RelayKind::Query, query));
+    }
+    // The pools are empty, so that the one that is taken ends at once.
+    REQUIRE(answers.size() == 3);
+    CHECK(answers[0].refused == Fault::VersionMissing);
+    CHECK(answers[1].refused == Fault::VersionMissing);
+    CHECK(answers[2].refused == Fault::None);
+    query.shards = { 0, 2 };
+    desk.onMessage(HostId{ 2 }, packRelay(RelayKind::Query, query));
+    CHECK(answers.back().refused == Fault::NoRoute);
+}
