Hosts with most capacity gather parts; relays take them by the asking host's tables

Cause: on the grown sites 78 of 88 hosts have 0.12 of a core and see a request each two seconds. Owners of parts were drawn by rendezvous alone, so that weak hosts gathered groups of 30 parts over cold connections and knew little of the searchers. And a relay refused parts by tables other than its own: while a change spreads, or goes from host to host within seconds, every such request was gathered by the weak host itself.

Ruled out: the store's readers, and the merge of 90 parts (27 processor seconds in all for 1,100 requests and 2,900 probes).

Change: settings name a host's capacity; heartbeats carry it. The owners of a key are the first by rendezvous among hosts of the zone with at least half of the greatest capacity there, those left out that did not answer lately. A host that has such an owner in its zone gathers no merged request itself. Budgets and connection caps are shared by capacity. Parts are asked for by pool name, so that the tables of the asking host count; they go in groups of 23, which fit a datagram, and zones that hold equally many parts are drawn by host. Hosts take a peer's life from membership.

"hosts with most capacity own every key" and "a relay gathers by the asking host's tables" fail without it. The latter takes the place of the test that a relay refuses other tables: what must hold, one revision a request, is now held by the asking host alone.

--- a/src/connection/relaymessages.h
+++ b/src/connection/relaymessages.h
@@ -16,11 +16,9 @@
 struct RelayQuery
 {
     std::uint64_t number = 0;
-    // The tables that the parts must be by.
-    Revision tables;
     std::string route;
-    // Positions in the route's list of pools.
-    std::vector<std::uint16_t> shards;
+    // One part of each is wanted. They are named, as the receiver may have other tables in force.
+    std::vector<std::string> pools;
     std::string method;
     std::string target;
     std::string requestId;
@@ -30,15 +28,19 @@
     double deadlineMs = 0;
     // Parts that the whole answer may lack.
     std::uint16_t mostMissing = 0;
-    // For each shard the keys of the searchers that may get the request; empty if all may.
+    // Records in the merged answer.
+    std::uint32_t resultSize = 0;
+    // Searchers that the request may be sent to, for each pool.
+    std::uint32_t maxAttempts = 1;
+    // For each pool the keys of the searchers that may get the request; empty if all may.
     std::vector<std::vector<std::uint32_t>> allowed;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->number, this->tables, this->route, this->shards, this->method, this->target,
-                this->requestId, this->forwarded, this->body, this->targetMs, this->deadlineMs,
-                this->mostMissing, this->allowed);
+        archive(this->number, this->route, this->pools, this->method, this->target, this->requestId,
+                this->forwarded, this->body, this->targetMs, this->deadlineMs, this->mostMissing,
+                this->resultSize, this->maxAttempts, this->allowed);
     }
 };
 
@@ -48,7 +50,7 @@
     std::uint64_t number = 0;
     // None if the receiver took the request.
     Fault refused = Fault::None;
-    // A seal for each of the shards that were asked for; empty where the part is missing.
+    // A seal for each of the pools that were named; empty where the part is missing.
     std::vector<std::string> seals;
     // The merged records of the parts.
     std::string records;
--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -43,7 +43,7 @@
     , dialect(std::move(names))
     , scatters(this->loop, this->metrics, this->dialect, this->view, this->scatterOptions())
     , relays(this->loop, this->view, this->scatters,
-             HostId{ stableHash(settings.heartbeatAddress) }, settings.zone,
+             { { stableHash(settings.heartbeatAddress) }, settings.zone, settings.capacity },
              startSeed(settings.name))
     , gateway(this->loop, this->metrics, this->dialect, this->view, this->scatters, this->relays,
               settings.zone)
@@ -53,12 +53,12 @@
     ViewExchangeHooks hooks;
     hooks.storeAnswers = [this] { return this->feed->isHealthy(); };
     hooks.feedIsBehind = [this] { this->feed->refresh(); };
-    hooks.hostsChanged = [this](std::uint32_t count) { this->scatters.setHosts(count); };
+    hooks.hostsChanged = [this](double equals) { this->scatters.setHosts(equals); };
     hooks.peersChanged = [this](const std::vector<MemberInfo> &alive) {
         std::vector<RelayPeer> peers;
         peers.reserve(alive.size());
         for (const MemberInfo &member : alive)
-            peers.push_back({ member.id, member.zone });
+            peers.push_back({ member.id, member.zone, member.capacity });
         this->relays.setPeers(std::move(peers));
     };
     hooks.restingChanged = [this](bool resting) { this->feed->setResting(resting); };
--- a/src/process/gatewaysettings.cpp
+++ b/src/process/gatewaysettings.cpp
@@ -9,6 +9,8 @@
 
 static constexpr double longestMs = 600'000;
 static constexpr double mostExtras = 1e6;
+static constexpr double leastCapacity = 1e-3;
+static constexpr double mostCapacity = 1e3;
 
 static bool isAddress(const std::string &text)
 {
@@ -65,9 +67,12 @@
     }
     reader.allowOnly(root, "settings", { "host", "listen", "store", "seeds", "retries", "limits" });
     const YAML::Node host = section(reader, root, "host", true);
-    reader.allowOnly(host, "host", { "name", "zone", "zone_distance_ms", "zone_reluctance_ms" });
+    reader.allowOnly(host, "host",
+                     { "name", "zone", "capacity", "zone_distance_ms", "zone_reluctance_ms" });
     settings.name = reader.text(host, "name", "host", true);
     settings.zone = reader.text(host, "zone", "host", true);
+    settings.capacity = reader.number(host, "capacity", "host", leastCapacity, mostCapacity, false,
+                                      settings.capacity);
     settings.zoneDistance = Millis(reader.number(host, "zone_distance_ms", "host", 0, longestMs,
                                                  false, settings.zoneDistance.count()));
     settings.zoneReluctance = Millis(reader.number(host, "zone_reluctance_ms", "host", 0, longestMs,
--- a/src/process/gatewaysettings.h
+++ b/src/process/gatewaysettings.h
@@ -15,6 +15,8 @@
 {
     std::string name;
     std::string zone;
+    // How much work the host takes, relative to others.
+    double capacity = 1;
     std::string callersAddress;
     std::string readyAddress;
     // Other hosts read this one's view there.
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -135,6 +135,7 @@
         if (known.zone != info.zone && info.incarnation == known.incarnation) {
             known.zone = info.zone;
             known.name = info.name;
+            known.capacity = info.capacity;
             this->changes += 1;
         }
         return;
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -36,12 +36,14 @@
     MemberState state = MemberState::Alive;
     // Highest revision of the tables that the host had in force.
     Revision revision;
+    // How much work the host takes, relative to others.
+    float capacity = 1;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(this->id, this->name, this->zone, this->address, this->incarnation,
-                this->refutation, this->state, this->revision);
+                this->refutation, this->state, this->revision, this->capacity);
     }
 };
 
--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -41,6 +41,7 @@
     info.name = settings.name;
     info.zone = settings.zone;
     info.address = settings.heartbeatAddress;
+    info.capacity = static_cast<float>(settings.capacity);
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
     info.incarnation = { static_cast<std::uint64_t>(
             std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()) };
@@ -156,6 +157,7 @@
         // A zone that is not known yet belongs to a seed that was not heard.
         if (member.state != MemberState::Alive || member.zone.empty())
             continue;
+        this->link->setPeerIncarnation(member.id, member.incarnation);
         auto &[life, since] = this->heardSince[member.id];
         if (life != member.incarnation) {
             life = member.incarnation;
@@ -211,16 +213,19 @@
     // Alone, a host cannot tell a small fleet from a cut; new, it has not heard of all.
     if (count < 2 || now - this->startedAt < settlingTime)
         return;
-    if (count >= this->mostHosts) {
-        this->mostHostsAt = now;
-        if (count == this->mostHosts)
+    double equals = 0;
+    for (const MemberInfo &member : this->membership.eligible(now))
+        equals += member.capacity / this->membership.own().capacity;
+    if (equals >= this->mostEquals) {
+        this->mostEqualsAt = now;
+        if (equals == this->mostEquals)
             return;
-    } else if (now - this->mostHostsAt < hostsMemory) {
+    } else if (now - this->mostEqualsAt < hostsMemory) {
         return;
     }
-    this->mostHosts = count;
-    this->mostHostsAt = now;
-    this->hooks.hostsChanged(count);
+    this->mostEquals = equals;
+    this->mostEqualsAt = now;
+    this->hooks.hostsChanged(equals);
 }
 
 // In a large fleet a few hosts of each zone follow the store, by rank; the others hear from them. A
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -27,7 +27,7 @@
     // Another host knows of something newer that the store's feed has not told for a while.
     std::function<void()> feedIsBehind;
     // The number of hosts that share budgets changed.
-    std::function<void(std::uint32_t)> hostsChanged;
+    std::function<void(double)> hostsChanged;
     // Whether this host leaves the store to others of its zone changed.
     std::function<void(bool)> restingChanged;
     // The other hosts that are alive, and have been for a while, changed.
@@ -108,8 +108,8 @@
     bool resting = false;
     std::uint64_t toldRevision = 0;
     std::uint32_t hosts = 0;
-    std::uint32_t mostHosts = 0;
-    Millis mostHostsAt;
+    double mostEquals = 0;
+    Millis mostEqualsAt;
     Millis startedAt;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -188,9 +188,7 @@
     RelayQuery query;
     const QueryId id = this->scatters.nextId();
     query.number = id.value;
-    query.tables = entry.tables->revision;
     query.route = entry.route->name;
-    query.shards.assign(share.shards.begin(), share.shards.end());
     query.method = entry.request->method;
     query.target = entry.request->target;
     query.requestId = entry.request->requestId;
@@ -201,8 +199,12 @@
     query.targetMs = (entry.target - now - way).count();
     query.deadlineMs = (entry.deadline - now - way).count();
     query.mostMissing = static_cast<std::uint16_t>(entry.seals.size() - this->needed(entry));
-    for (const std::uint32_t shard : share.shards)
+    query.resultSize = entry.route->resultSize;
+    query.maxAttempts = std::max(1U, entry.route->maxAttempts);
+    for (const std::uint32_t shard : share.shards) {
+        query.pools.push_back(entry.route->shardPools[shard]);
         query.allowed.push_back(entry.allowed[shard]);
+    }
     Batch batch;
     batch.shards = share.shards;
     batch.id = id;
--- a/src/request/relayboard.h
+++ b/src/request/relayboard.h
@@ -19,6 +19,8 @@
 {
     HostId id;
     std::string zone;
+    // How much work it takes, relative to others.
+    double capacity = 1;
 };
 
 // Keeps what this host has seen of the others as relays, and chooses among them.
@@ -35,11 +37,15 @@
     // Sets the hosts that are alive now.
     void setPeers(std::vector<RelayPeer> peers);
 
-    // Returns the hosts of a zone that come first for a key by rendezvous hashing, self among them
-    // if it is in the zone. The same few hosts gather the same parts, so that they know the
-    // searchers and keep connections to them.
+    // Returns the hosts of a zone that come first for a key by rendezvous hashing among those with
+    // most capacity, self among them if it is in the zone. The same few hosts gather the same
+    // parts, so that they know the searchers and keep connections to them. Hosts that are avoided
+    // are left out.
     std::vector<HostId> owners(const std::string &zone, std::uint64_t key,
-                               std::optional<HostId> self) const;
+                               const std::optional<RelayPeer> &self, Millis now) const;
+
+    // True if some host of its zone that may be asked has much more capacity.
+    bool hasStronger(const RelayPeer &self, Millis now) const;
 
     // Returns one of the hosts, or nothing if none may be asked.
     std::optional<HostId> choose(const std::vector<HostId> &among, Millis now);
@@ -67,6 +73,8 @@
     };
 
     std::minstd_rand random;
+    bool isAvoided(HostId host, Millis now) const;
+
     std::vector<RelayPeer> peers;
     std::map<HostId, Record> records;
 };
--- a/src/request/relaydesk.cpp
+++ b/src/request/relaydesk.cpp
@@ -14,17 +14,18 @@
 static constexpr std::size_t leastShare = 2;
 // Parts that one host gathers without help from its zone.
 static constexpr std::size_t mostHere = 32;
+// Parts in one message; so many fit into a datagram, and their answer too.
+static constexpr std::size_t mostPerMessage = 23;
 // Time in which a host acknowledges a message if it runs and is reached.
 static constexpr Millis shortestAcknowledgeTime = Millis(40);
 static constexpr double acknowledgeRoundTrips = 3;
 
-RelayDesk::RelayDesk(EventLoop &loop, const ServingView &view, ScatterHost &scatters, HostId self,
-                     std::string zone, std::uint64_t seed)
+RelayDesk::RelayDesk(EventLoop &loop, const ServingView &view, ScatterHost &scatters,
+                     RelayPeer self, std::uint64_t seed)
     : loop(loop)
     , view(view)
     , scatters(scatters)
-    , self(self)
-    , zone(std::move(zone))
+    , self(std::move(self))
     , board(seed)
 {}
 
@@ -56,7 +57,7 @@
     std::set<std::uint32_t> far;
     for (std::uint32_t shard = 0; shard < route.shardPools.size(); ++shard) {
         const std::set<std::string> &zones = this->zonesOf(route.shardPools[shard]);
-        if (!this->send || !route.repeatable || zones.empty() || zones.contains(this->zone)) {
+        if (!this->send || !route.repeatable || zones.empty() || zones.contains(this->self.zone)) {
             result.here.push_back(shard);
             continue;
         }
@@ -65,23 +66,15 @@
             byZone[name].push_back(shard);
     }
     while (!far.empty() && !byZone.empty()) {
-        const auto widest
-                = std::max_element(byZone.begin(), byZone.end(), [](const auto &a, const auto &b) {
-                      return a.second.size() < b.second.size();
-                  });
-        const std::vector<std::uint32_t> shards = widest->second;
+        const std::string farZone = this->widest(byZone);
+        const std::vector<std::uint32_t> shards = byZone[farZone];
         if (shards.size() < leastShare)
             break;
-        const std::string farZone = widest->first;
-        const std::uint64_t key = stableHash(route.shardPools[shards.front()]);
-        const std::optional<HostId> host
-                = this->board.choose(this->board.owners(farZone, key, std::nullopt), now);
-        byZone.erase(widest);
-        if (!host)
-            continue;
-        result.shares.push_back({ *host, farZone, shards });
+        byZone.erase(farZone);
+        const std::vector<std::uint32_t> left = this->share(route, shards, farZone, now, result);
         for (const std::uint32_t shard : shards)
             far.erase(shard);
+        far.insert(left.begin(), left.end());
         for (auto &[name, rest] : byZone)
             std::erase_if(rest, [&](std::uint32_t shard) { return !far.contains(shard); });
     }
@@ -90,27 +83,50 @@
     return result;
 }
 
-// Has the owners of the own zone take what is more than one host gathers quickly.
-void RelayDesk::shareNear(const Route &route, RelaySplit &split, Millis now)
+// Returns the zone that has most of the parts. Of several, each host takes another one.
+std::string RelayDesk::widest(const std::map<std::string, std::vector<std::uint32_t>> &byZone) const
 {
-    if (!this->send || !route.repeatable || split.here.size() <= mostHere)
-        return;
-    const std::vector<std::uint32_t> all = std::move(split.here);
-    split.here.clear();
-    const std::size_t groups = (all.size() + mostHere - 1) / mostHere;
+    const auto rank = [this](const auto &item) {
+        return std::pair(item.second.size(), stableHash(item.first, this->self.id.value));
+    };
+    return std::max_element(byZone.begin(), byZone.end(),
+                            [&](const auto &a, const auto &b) { return rank(a) < rank(b); })
+            ->first;
+}
+
+// Splits parts among the owners of a zone. Returns those that this host gathers itself.
+std::vector<std::uint32_t> RelayDesk::share(const Route &route,
+                                            const std::vector<std::uint32_t> &parts,
+                                            const std::string &zone, Millis now, RelaySplit &split)
+{
+    const bool isOwnZone = zone == this->self.zone;
+    const std::optional<RelayPeer> own = isOwnZone ? std::optional(this->self) : std::nullopt;
+    const std::size_t groups = (parts.size() + mostPerMessage - 1) / mostPerMessage;
+    std::vector<std::uint32_t> left;
     for (std::size_t group = 0; group < groups; ++group) {
-        const auto begin = all.begin() + static_cast<std::ptrdiff_t>(all.size() * group / groups);
-        const auto end
-                = all.begin() + static_cast<std::ptrdiff_t>(all.size() * (group + 1) / groups);
-        const std::uint64_t key = stableHash(route.shardPools[*begin]);
-        const std::vector<HostId> owners = this->board.owners(this->zone, key, this->self);
-        const bool own = std::find(owners.begin(), owners.end(), this->self) != owners.end();
-        const std::optional<HostId> host = own ? std::nullopt : this->board.choose(owners, now);
+        const auto at = [&](std::size_t index) {
+            return parts.begin() + static_cast<std::ptrdiff_t>(parts.size() * index / groups);
+        };
+        const std::uint64_t key = stableHash(route.shardPools[*at(group)]);
+        const std::vector<HostId> owners = this->board.owners(zone, key, own, now);
+        const bool isOwner = std::find(owners.begin(), owners.end(), this->self.id) != owners.end();
+        const std::optional<HostId> host = isOwner ? std::nullopt : this->board.choose(owners, now);
         if (host)
-            split.shares.push_back({ *host, this->zone, { begin, end } });
+            split.shares.push_back({ *host, zone, { at(group), at(group + 1) } });
         else
-            split.here.insert(split.here.end(), begin, end);
+            left.insert(left.end(), at(group), at(group + 1));
     }
+    return left;
+}
+
+// Has the owners of the own zone take what is more than this host gathers quickly.
+void RelayDesk::shareNear(const Route &route, RelaySplit &split, Millis now)
+{
+    const bool isWeak = this->board.hasStronger(this->self, now);
+    if (!this->send || !route.repeatable || split.here.size() <= (isWeak ? leastShare : mostHere))
+        return;
+    const std::vector<std::uint32_t> all = std::move(split.here);
+    split.here = this->share(route, all, this->self.zone, now, split);
 }
 
 void RelayDesk::ask(HostId host, const RelayQuery &query, Millis due,
@@ -239,37 +255,23 @@
 {
     RelayAnswer refusal;
     refusal.number = query.number;
-    const auto &tables = this->view.tables();
-    // Parts by other tables would make the asking host go back and forth between revisions.
-    if (this->stopping || !tables || tables->revision != query.tables) {
+    if (this->stopping || !this->view.tables()) {
         refusal.refused = Fault::VersionMissing;
         this->answer(from, refusal);
         return;
     }
-    const auto route = std::find_if(tables->routes.begin(), tables->routes.end(),
-                                    [&](const Route &item) { return item.name == query.route; });
-    const bool known
-            = route != tables->routes.end()
-              && std::all_of(query.shards.begin(), query.shards.end(),
-                             [&](std::uint16_t shard) { return shard < route->shardPools.size(); });
-    if (!known) {
-        refusal.refused = Fault::NoRoute;
-        this->answer(from, refusal);
-        return;
-    }
     const Millis now = SteadyClock::now();
     ScatterStart start;
     start.plan.id = this->scatters.nextId();
     start.plan.merged = true;
-    start.plan.repeatable = route->repeatable;
     start.plan.isBatch = true;
     start.plan.mostMissing = query.mostMissing;
     start.plan.target = now + Millis(query.targetMs);
     start.plan.deadline = now + Millis(query.deadlineMs);
-    start.plan.maxAttempts = std::max(1U, route->maxAttempts);
-    for (const std::uint16_t shard : query.shards)
-        start.pools.push_back(this->scatters.pool(route->shardPools[shard]));
-    if (query.allowed.size() == query.shards.size())
+    start.plan.maxAttempts = std::max(1U, query.maxAttempts);
+    for (const std::string &pool : query.pools)
+        start.pools.push_back(this->scatters.pool(pool));
+    if (query.allowed.size() == query.pools.size())
         start.allowed = query.allowed;
     const auto request = std::make_shared<OutboundRequest>();
     request->method = query.method;
@@ -277,11 +279,10 @@
     request->requestId = query.requestId;
     request->forwarded = query.forwarded;
     request->body = query.body;
-    request->repeatable = route->repeatable;
     start.request = request;
-    start.pace = &this->pace(route->name);
+    start.pace = &this->pace(query.route);
     const std::pair<HostId, std::uint64_t> key = { from, query.number };
-    const std::uint32_t limit = route->resultSize;
+    const std::uint32_t limit = query.resultSize;
     start.done = [this, key, limit, now, id = query.requestId,
                   pools = start.pools](ScatterAnswer &&gathered) {
         this->gathering.erase(key);
--- a/src/request/relaydesk.h
+++ b/src/request/relaydesk.h
@@ -44,8 +44,8 @@
 class RelayDesk
 {
 public:
-    RelayDesk(EventLoop &loop, const ServingView &view, ScatterHost &scatters, HostId self,
-              std::string zone, std::uint64_t seed);
+    RelayDesk(EventLoop &loop, const ServingView &view, ScatterHost &scatters, RelayPeer self,
+              std::uint64_t seed);
 
     // Sets how messages reach another host's desk, how long the way there and back is, and for how
     // long a message has not been acknowledged. Without it nothing is relayed.
@@ -101,6 +101,9 @@
     };
 
     const std::set<std::string> &zonesOf(const std::string &pool);
+    std::string widest(const std::map<std::string, std::vector<std::uint32_t>> &byZone) const;
+    std::vector<std::uint32_t> share(const Route &route, const std::vector<std::uint32_t> &parts,
+                                     const std::string &zone, Millis now, RelaySplit &split);
     void shareNear(const Route &route, RelaySplit &split, Millis now);
     Millis acknowledgeTime(HostId host) const;
     void onAskTimer(QueryId id);
@@ -113,8 +116,7 @@
     EventLoop &loop;
     const ServingView &view;
     ScatterHost &scatters;
-    HostId self;
-    std::string zone;
+    RelayPeer self;
     RelayBoard board;
     std::function<void(HostId, std::string)> send;
     std::function<Millis(HostId)> roundTrip;
--- a/src/request/scatterhost.cpp
+++ b/src/request/scatterhost.cpp
@@ -238,7 +238,7 @@
     if (this->view.tables()) {
         const Pool *pool = this->view.tables()->pool(target.pool->name());
         if (pool != nullptr)
-            cap = std::max(1U, pool->connectionCap / this->hosts);
+            cap = std::max(1U, static_cast<std::uint32_t>(pool->connectionCap / this->hosts));
     }
     cap = std::min(cap, mostConnections);
     target.searcher->setConnectionLimit(cap);
@@ -289,11 +289,11 @@
         this->applyLimits(*target);
 }
 
-void ScatterHost::setHosts(std::uint32_t count)
+void ScatterHost::setHosts(double equals)
 {
-    if (count == this->hosts || count == 0)
+    if (equals == this->hosts || equals < 1)
         return;
-    this->hosts = count;
+    this->hosts = equals;
     for (const auto &[name, pool] : this->pools)
         pool->budget().setOptions(this->ownBudget());
     for (const auto &[id, target] : this->targets)
--- a/src/request/scatterhost.h
+++ b/src/request/scatterhost.h
@@ -71,8 +71,8 @@
     // The view changed.
     void onView();
 
-    // Sets how many hosts share the budget and the searchers' connections.
-    void setHosts(std::uint32_t count);
+    // Sets how many hosts like this one share the budget and the searchers' connections.
+    void setHosts(double equals);
 
     // This process did not run for a while: what waited is expired.
     void onPaused();
@@ -122,7 +122,7 @@
     const Dialect &dialect;
     const ServingView &view;
     ScatterHostOptions options;
-    std::uint32_t hosts;
+    double hosts;
     std::uint64_t lastQuery = 0;
     std::unordered_map<QueryId, Running> requests;
     std::map<std::string, std::shared_ptr<ShardPool>, std::less<>> pools;
