The gateway runs without the platform: tables and registrations from files

Cause: pools of registered searchers, splits and the rest that gateways need could only come from the platform's store, so the product could not be run, tried or tested by itself.

Change: the YAML tables take registered pools, shard_pools, split, max_attempts, result_size and rank; a searchers' file lists registrations with a revision that operators raise. Settings name either a store or files. `quetzal-standin records` serves such searchers.

--- a/apps/quetzal_gateway.cpp
+++ b/apps/quetzal_gateway.cpp
@@ -2,6 +2,7 @@
 #include "platform/headernames.h"
 #include "platform/storefeed.h"
 #include "process/eventlog.h"
+#include "process/filefeed.h"
 #include "process/gatewayprocess.h"
 #include "quetzal/steadyclock.h"
 
@@ -27,7 +28,7 @@
 // Returns the settings, or nothing after it logged what is wrong with them.
 std::optional<quetzal::GatewaySettings> readSettings(const std::string &path)
 {
-    const auto text = quetzal::readFile(path);
+    const auto text = quetzal::readTextFile(path);
     if (!text) {
         quetzal::logEvent(quetzal::LogEvent::SettingsRefused,
                           "cannot read settings file \"" + path + "\"");
@@ -69,7 +70,7 @@
     Watcher(quetzal::GatewayProcess &process, std::string path)
         : process(process)
         , path(std::move(path))
-        , text(quetzal::readFile(this->path).value_or(""))
+        , text(quetzal::readTextFile(this->path).value_or(""))
     {
         this->process.everyTick([this] { this->look(); });
     }
@@ -85,7 +86,7 @@
         static constexpr int ticksBetweenReads = 20;
         if (reloadAsked == 0 && ++this->ticks % ticksBetweenReads != 0)
             return;
-        const auto next = quetzal::readFile(this->path);
+        const auto next = quetzal::readTextFile(this->path);
         const bool asked = reloadAsked != 0;
         reloadAsked = 0;
         if (!asked && (!next || *next == this->text))
@@ -107,12 +108,17 @@
 {
     const std::uint64_t seed = quetzal::stableHash(
             settings.name, static_cast<std::uint64_t>(quetzal::SteadyClock::now().count()));
-    const auto makeFeed = [seed](quetzal::EventLoop &loop, const std::string &address,
-                                 quetzal::ServingView &view) {
+    const bool usesFiles = settings.files.named();
+    const auto makeFeed = [&](quetzal::EventLoop &loop, const std::string &address,
+                              quetzal::ServingView &view) -> std::unique_ptr<quetzal::ViewFeed> {
+        if (usesFiles)
+            return std::make_unique<quetzal::FileFeed>(loop, settings.files, view);
         return std::make_unique<quetzal::platform::StoreFeed>(loop, address, view, seed);
     };
     try {
-        quetzal::GatewayProcess process(settings, quetzal::platform::headerNames(), makeFeed);
+        quetzal::GatewayProcess process(
+                settings, usesFiles ? quetzal::HeaderNames() : quetzal::platform::headerNames(),
+                makeFeed);
         const Watcher watcher(process, path);
         return process.run() ? exitOk : exitCutOff;
     } catch (const Poco::Exception &error) {
--- a/apps/quetzal_standin.cpp
+++ b/apps/quetzal_standin.cpp
@@ -2,8 +2,10 @@
 #include "process/eventlog.h"
 #include "standins/hostsstandin.h"
 #include "standins/linkstandin.h"
+#include "standins/recordstandin.h"
 #include "standins/searchersstandin.h"
 #include "standins/storestandin.h"
+#include "version/searchersyaml.h"
 #include "version/tablesyaml.h"
 
 #include <csignal>
@@ -18,7 +20,8 @@
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:9000", "address of the service or of its control");
 ABSL_FLAG(std::string, file, "",
-          "hosts: JSON list; searchers: pools.yaml; link: YAML list of ways");
+          "hosts: JSON list; searchers: pools.yaml; records: searchers.yaml; link: YAML list of "
+          "ways");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of everything random");
 ABSL_FLAG(std::uint64_t, documents, 100000, "searchers: documents of each pool's index");
 ABSL_FLAG(double, service_ms, 8, "searchers: median service time");
@@ -93,6 +96,22 @@
     loop.run();
 }
 
+void runRecords(quetzal::EventLoop &loop)
+{
+    const std::string path = absl::GetFlag(FLAGS_file);
+    const auto parsed = quetzal::parseSearchers(path, readFile(path));
+    for (const std::string &error : parsed.errors)
+        std::cerr << error << "\n";
+    if (!parsed.ok())
+        throw Poco::DataFormatException(path);
+    quetzal::RecordBehaviour behaviour;
+    behaviour.service = quetzal::Millis(absl::GetFlag(FLAGS_service_ms));
+    behaviour.slowFraction = absl::GetFlag(FLAGS_straggler_fraction);
+    const quetzal::RecordStandin searchers(loop, quetzal::HeaderNames(), parsed.value.searchers,
+                                           behaviour, absl::GetFlag(FLAGS_seed));
+    loop.run();
+}
+
 void runLink(quetzal::EventLoop &loop)
 {
     quetzal::LinkQuality quality;
@@ -109,8 +128,9 @@
 
 int main(int argc, char **argv)
 {
-    absl::SetProgramUsageMessage("quetzal-standin store|hosts|searchers|link [flags]: small "
-                                 "stand-ins for tests and trials.");
+    absl::SetProgramUsageMessage(
+            "quetzal-standin store|hosts|searchers|records|link [flags]: small "
+            "stand-ins for tests and trials.");
     const std::vector<char *> arguments = absl::ParseCommandLine(argc, argv);
     const std::string what = arguments.size() > 1 ? arguments[1] : "";
     std::signal(SIGPIPE, SIG_IGN);
@@ -123,11 +143,13 @@
             runHosts(loop);
         else if (what == "searchers")
             runSearchers(loop);
+        else if (what == "records")
+            runRecords(loop);
         else if (what == "link")
             runLink(loop);
         else {
             std::cerr << "quetzal-standin: \"" << what
-                      << "\" is not one of store, hosts, searchers, link\n";
+                      << "\" is not one of store, hosts, searchers, records, link\n";
             return exitUsage;
         }
     } catch (const Poco::Exception &error) {
--- /dev/null
+++ b/src/process/filefeed.cpp
@@ -0,0 +1,78 @@
+#include "process/filefeed.h"
+
+#include "process/eventlog.h"
+#include "quetzal/steadyclock.h"
+#include "version/searchersyaml.h"
+#include "version/tablesyaml.h"
+
+#include <algorithm>
+
+namespace quetzal {
+
+FileFeed::FileFeed(EventLoop &loop, ViewFiles files, ServingView &view)
+    : loop(loop)
+    , files(std::move(files))
+    , view(view)
+{}
+
+FileFeed::~FileFeed()
+{
+    this->loop.cancel(this->timer);
+}
+
+void FileFeed::start()
+{
+    this->look();
+    this->timer = this->loop.schedule(SteadyClock::now() + period, [this] { this->start(); });
+}
+
+void FileFeed::refuse(const std::string &error)
+{
+    this->healthy = false;
+    logEvent(LogEvent::TablesRefused, "error=\"" + error + "\"");
+}
+
+void FileFeed::look()
+{
+    const auto routes = readTextFile(this->files.routes);
+    const auto pools = readTextFile(this->files.pools);
+    const auto searchers = readTextFile(this->files.searchers);
+    const std::string read = routes && pools && searchers ? *routes + *pools + *searchers : "";
+    if (read == this->lastRead && !read.empty())
+        return;
+    const bool isNews = read != this->lastRead || this->healthy;
+    this->lastRead = read;
+    if (!read.empty())
+        this->take(*routes, *pools, *searchers);
+    else if (isNews)
+        this->refuse("cannot read " + this->files.routes + ", " + this->files.pools + " or "
+                     + this->files.searchers);
+}
+
+void FileFeed::take(const std::string &routes, const std::string &pools,
+                    const std::string &searchers)
+{
+    auto tables = parseTables(this->files.routes, routes, this->files.pools, pools);
+    auto listing = parseSearchers(this->files.searchers, searchers);
+    std::vector<std::string> errors = tables.errors;
+    errors.insert(errors.end(), listing.errors.begin(), listing.errors.end());
+    const std::uint64_t revision = listing.value.revision;
+    if (errors.empty() && revision <= this->view.tablesRevision().value)
+        errors.push_back(this->files.searchers + ": revision " + std::to_string(revision)
+                         + " must be above " + std::to_string(this->view.tablesRevision().value));
+    if (!errors.empty()) {
+        for (const std::string &error : errors)
+            this->refuse(error);
+        return;
+    }
+    this->healthy = true;
+    Tables next;
+    next.revision = { revision };
+    next.routes = std::move(tables.value.routes);
+    next.pools = std::move(tables.value.pools);
+    this->view.takeTables(std::move(next));
+    this->view.takeListing(listing.value.searchers, revision, SteadyClock::now());
+    logEvent(LogEvent::TablesInForce, "revision=" + std::to_string(revision));
+}
+
+} // namespace quetzal
--- a/src/process/gatewaysettings.cpp
+++ b/src/process/gatewaysettings.cpp
@@ -2,9 +2,6 @@
 
 #include <Poco/Net/SocketAddress.h>
 
-#include <fstream>
-#include <sstream>
-
 namespace quetzal {
 
 static constexpr double longestMs = 600'000;
@@ -43,14 +40,24 @@
     return YAML::Node(YAML::NodeType::Map);
 }
 
-std::optional<std::string> readFile(const std::string &path)
+// Reads where tables and registrations come from: a store, or files.
+static void readSource(YamlReader &reader, const YAML::Node &root, GatewaySettings &settings)
 {
-    std::ifstream file(path);
-    if (path.empty() || !file)
-        return std::nullopt;
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
+    if (root["store"].IsDefined() == root["files"].IsDefined()) {
+        reader.fail(root, "settings: one of store and files is expected");
+        return;
+    }
+    if (root["store"].IsDefined()) {
+        const YAML::Node store = section(reader, root, "store", true);
+        reader.allowOnly(store, "store", { "address" });
+        settings.storeAddress = readAddress(reader, store, "address", "store");
+        return;
+    }
+    const YAML::Node files = section(reader, root, "files", true);
+    reader.allowOnly(files, "files", { "routes", "pools", "searchers" });
+    settings.files.routes = reader.text(files, "routes", "files", true);
+    settings.files.pools = reader.text(files, "pools", "files", true);
+    settings.files.searchers = reader.text(files, "searchers", "files", true);
 }
 
 Parsed<GatewaySettings> parseGatewaySettings(const std::string &file, const std::string &text)
@@ -65,7 +72,8 @@
         result.errors = reader.errors();
         return result;
     }
-    reader.allowOnly(root, "settings", { "host", "listen", "store", "seeds", "retries", "limits" });
+    reader.allowOnly(root, "settings",
+                     { "host", "listen", "store", "files", "seeds", "retries", "limits" });
     const YAML::Node host = section(reader, root, "host", true);
     reader.allowOnly(host, "host",
                      { "name", "zone", "capacity", "zone_distance_ms", "zone_reluctance_ms" });
@@ -84,9 +92,7 @@
     settings.viewAddress = readAddress(reader, listen, "view", "listen");
     settings.heartbeatAddress = readAddress(reader, listen, "heartbeat", "listen");
     settings.metricsAddress = readAddress(reader, listen, "metrics", "listen", false);
-    const YAML::Node store = section(reader, root, "store", true);
-    reader.allowOnly(store, "store", { "address" });
-    settings.storeAddress = readAddress(reader, store, "address", "store");
+    readSource(reader, root, settings);
     settings.seeds = reader.texts(root, "seeds", "settings");
     for (const std::string &seed : settings.seeds) {
         if (!isAddress(seed))
--- a/src/process/gatewaysettings.h
+++ b/src/process/gatewaysettings.h
@@ -1,6 +1,7 @@
 // The settings of quetzal-gateway, read from YAML.
 #pragma once
 
+#include "process/filefeed.h"
 #include "quetzal/millis.h"
 #include "version/yamlreader.h"
 
@@ -25,7 +26,9 @@
     std::string heartbeatAddress;
     // Empty if no metrics are served.
     std::string metricsAddress;
+    // Empty if the view is read from files.
     std::string storeAddress;
+    ViewFiles files;
     // View addresses of other hosts; some may be gone.
     std::vector<std::string> seeds;
     // Extra attempts on a pool that all hosts together may make in a window.
@@ -40,9 +43,6 @@
     Millis zoneReluctance = Millis(10);
 };
 
-// Returns the bytes of a file, or nothing if it cannot be read.
-std::optional<std::string> readFile(const std::string &path);
-
 // Parses and checks settings. Errors name file, line and field.
 Parsed<GatewaySettings> parseGatewaySettings(const std::string &file, const std::string &text);
 
--- a/src/version/tablesyaml.cpp
+++ b/src/version/tablesyaml.cpp
@@ -13,6 +13,11 @@
 static constexpr std::uint32_t mostSlots = 10'000;
 static constexpr std::uint32_t mostConnections = 1'000'000;
 static constexpr double longestConnectMs = 60'000;
+static constexpr std::uint32_t mostAttempts = 100;
+static constexpr std::uint32_t mostRecords = 100'000;
+static constexpr std::uint32_t mostRank = 1'000;
+static constexpr double leastWeight = 1e-6;
+static constexpr double mostWeight = 1e9;
 
 static bool isHostPort(const std::string &address)
 {
@@ -84,12 +89,16 @@
         Pool pool;
         pool.name = reader.text(node, "name", "pool", true);
         const std::string where = "pool \"" + pool.name + "\"";
-        reader.allowOnly(
-                node, where,
-                { "name", "shards", "slots", "connection_cap", "connect_cost_ms", "searchers" });
+        reader.allowOnly(node, where,
+                         { "name", "shards", "slots", "connection_cap", "connect_cost_ms",
+                           "searchers", "registered" });
         pool.shards = reader.count(node, "shards", where, 1, mostShards, false, 1);
         if (!this->poolNames.insert(pool.name).second)
             reader.fail(node, where + " is defined twice");
+        if (reader.flag(node, "registered", where, false)) {
+            this->readRegisteredPool(node, where, std::move(pool));
+            return;
+        }
         const YAML::Node searchers = node["searchers"];
         if (!searchers.IsDefined() || !searchers.IsSequence()) {
             reader.fail(node, where + ": a list \"searchers\" is expected");
@@ -101,6 +110,17 @@
         this->files.pools.push_back(std::move(pool));
     }
 
+    // The searchers of such a pool register themselves; each of them holds all that the pool does.
+    void readRegisteredPool(const YAML::Node &node, const std::string &where, Pool pool)
+    {
+        YamlReader &reader = this->poolsReader;
+        reader.allowOnly(node, where + ", whose searchers register",
+                         { "name", "registered", "connection_cap" });
+        pool.connectionCap
+                = reader.count(node, "connection_cap", where, 1, mostConnections, true, 1);
+        this->files.pools.push_back(std::move(pool));
+    }
+
     void readSearcher(const YAML::Node &node, const YAML::Node &poolNode,
                       const std::string &poolWhere, Pool &pool)
     {
@@ -172,14 +192,20 @@
         const std::string where = "route \"" + route.name + "\"";
         reader.allowOnly(node, where,
                          { "name", "match", "pool", "kind", "repeatable", "target_ms",
-                           "deadline_ms", "min_coverage", "below_minimum", "priority" });
+                           "deadline_ms", "min_coverage", "below_minimum", "priority",
+                           "shard_pools", "split", "max_attempts", "result_size", "rank" });
         if (!this->routeNames.insert(route.name).second)
             reader.fail(node, where + " is defined twice");
         this->readMatch(node, where, route);
-        route.pool = reader.text(node, "pool", where, true);
-        if (!this->poolNames.contains(route.pool))
-            reader.fail(node["pool"], where + ": pool \"" + route.pool + "\" does not exist");
-        route.kind = reader.choice(node, "kind", where, routeKindNames, RouteKind::AllShards);
+        this->readTargets(node, where, route);
+        route.kind = reader.choice(node, "kind", where, routeKindNames,
+                                   route.split.empty() ? RouteKind::AllShards
+                                                       : RouteKind::OneSearcher);
+        route.maxAttempts = reader.count(node, "max_attempts", where, 1, mostAttempts, false,
+                                         route.maxAttempts);
+        route.resultSize
+                = reader.count(node, "result_size", where, 1, mostRecords, false, route.resultSize);
+        route.rank = reader.count(node, "rank", where, 0, mostRank, false, route.rank);
         route.repeatable = reader.flag(node, "repeatable", where, true);
         if (route.kind == RouteKind::AllShards && !route.repeatable)
             reader.fail(node, where + ": a route to all shards must be repeatable");
@@ -196,6 +222,48 @@
         this->files.routes.push_back(std::move(route));
     }
 
+    void checkPool(const YAML::Node &at, const std::string &where, const std::string &pool)
+    {
+        if (!this->poolNames.contains(pool))
+            this->routesReader.fail(at, where + ": pool \"" + pool + "\" does not exist");
+    }
+
+    // Reads the one pool, the pools of the shards, or the pools that share the requests.
+    void readTargets(const YAML::Node &node, const std::string &where, Route &route)
+    {
+        YamlReader &reader = this->routesReader;
+        const int named = static_cast<int>(node["pool"].IsDefined())
+                          + static_cast<int>(node["shard_pools"].IsDefined())
+                          + static_cast<int>(node["split"].IsDefined());
+        if (named != 1) {
+            reader.fail(node, where + ": one of pool, shard_pools and split is expected");
+            return;
+        }
+        if (node["pool"].IsDefined()) {
+            route.pool = reader.text(node, "pool", where, true);
+            this->checkPool(node["pool"], where, route.pool);
+        }
+        route.shardPools = reader.texts(node, "shard_pools", where);
+        for (const std::string &pool : route.shardPools)
+            this->checkPool(node["shard_pools"], where, pool);
+        const YAML::Node split = node["split"];
+        if (!split.IsDefined())
+            return;
+        if (!split.IsSequence() || split.size() == 0) {
+            reader.fail(split, where + ": split must be a list of pools with weights");
+            return;
+        }
+        for (const YAML::Node &part : split) {
+            const std::string at = where + ": split";
+            reader.allowOnly(part, at, { "pool", "weight" });
+            PoolShare share;
+            share.pool = reader.text(part, "pool", at, true);
+            share.weight = reader.number(part, "weight", at, leastWeight, mostWeight, true, 1);
+            this->checkPool(part, at, share.pool);
+            route.split.push_back(std::move(share));
+        }
+    }
+
     void readMatch(const YAML::Node &node, const std::string &where, Route &route)
     {
         YamlReader &reader = this->routesReader;
@@ -228,6 +296,23 @@
     return TablesParser(routesFile, poolsFile).run(routesText, poolsText);
 }
 
+static void formatTargets(YAML::Emitter &out, const Route &route)
+{
+    if (!route.shardPools.empty()) {
+        out << YAML::Key << "shard_pools" << YAML::Value << YAML::Flow << route.shardPools;
+        return;
+    }
+    if (route.split.empty()) {
+        out << YAML::Key << "pool" << YAML::Value << route.pool;
+        return;
+    }
+    out << YAML::Key << "split" << YAML::Value << YAML::BeginSeq;
+    for (const PoolShare &share : route.split)
+        out << YAML::Flow << YAML::BeginMap << YAML::Key << "pool" << YAML::Value << share.pool
+            << YAML::Key << "weight" << YAML::Value << share.weight << YAML::EndMap;
+    out << YAML::EndSeq;
+}
+
 std::string formatRoutes(const std::vector<Route> &routes)
 {
     YAML::Emitter out;
@@ -242,7 +327,7 @@
         if (!route.host.empty())
             out << YAML::Key << "host" << YAML::Value << route.host;
         out << YAML::EndMap;
-        out << YAML::Key << "pool" << YAML::Value << route.pool;
+        formatTargets(out, route);
         out << YAML::Key << "kind" << YAML::Value
             << std::string(routeKindNames[static_cast<std::size_t>(route.kind)]);
         out << YAML::Key << "repeatable" << YAML::Value << route.repeatable;
@@ -253,6 +338,9 @@
             << std::string(belowMinimumNames[static_cast<std::size_t>(route.below)]);
         out << YAML::Key << "priority" << YAML::Value
             << std::string(priorityNames[static_cast<std::size_t>(route.priority)]);
+        out << YAML::Key << "max_attempts" << YAML::Value << route.maxAttempts;
+        out << YAML::Key << "result_size" << YAML::Value << route.resultSize;
+        out << YAML::Key << "rank" << YAML::Value << route.rank;
         out << YAML::EndMap;
     }
     out << YAML::EndSeq << YAML::EndMap;
@@ -267,6 +355,12 @@
     for (const Pool &pool : pools) {
         out << YAML::BeginMap;
         out << YAML::Key << "name" << YAML::Value << pool.name;
+        if (pool.searchers.empty()) {
+            out << YAML::Key << "registered" << YAML::Value << true;
+            out << YAML::Key << "connection_cap" << YAML::Value << pool.connectionCap;
+            out << YAML::EndMap;
+            continue;
+        }
         out << YAML::Key << "shards" << YAML::Value << pool.shards;
         out << YAML::Key << "searchers" << YAML::Value << YAML::BeginSeq;
         for (const Searcher &searcher : pool.searchers) {
--- a/src/version/yamlreader.cpp
+++ b/src/version/yamlreader.cpp
@@ -2,9 +2,21 @@
 
 #include <algorithm>
 #include <cmath>
+#include <fstream>
+#include <sstream>
 
 namespace quetzal {
 
+std::optional<std::string> readTextFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (path.empty() || !file)
+        return std::nullopt;
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 YAML::Node YamlReader::load(const std::string &text)
 {
     try {
--- a/src/version/yamlreader.h
+++ b/src/version/yamlreader.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,9 @@
     bool ok() const { return this->errors.empty(); }
 };
 
+// Returns the bytes of a file, or nothing if it cannot be read.
+std::optional<std::string> readTextFile(const std::string &path);
+
 // Reads one YAML document. Every reader function returns its fallback after an error.
 class YamlReader
 {
--- /dev/null
+++ b/tests/filefeedtest.cpp
@@ -0,0 +1,199 @@
+// Tables and registrations from files, and searchers that answer with records.
+#include "process/filefeed.h"
+#include "connection/httpclient.h"
+#include "process/gatewaysettings.h"
+#include "quetzal/steadyclock.h"
+#include "standins/recordstandin.h"
+#include "version/searchersyaml.h"
+#include "version/tablesyaml.h"
+
+#include <filesystem>
+#include <fstream>
+
+#include <doctest/doctest.h>
+
+using namespace quetzal;
+
+namespace {
+
+const char *const routesText = R"(routes:
+  - { name: all, match: { path: /all/ }, shard_pools: [a, b], deadline_ms: 300, max_attempts: 2 }
+  - name: some
+    match: { path: /some/ }
+    split: [ { pool: a, weight: 3 }, { pool: b, weight: 1 } ]
+    deadline_ms: 300
+    result_size: 7
+    rank: 2
+)";
+
+const char *const poolsText = R"(zones: [z]
+pools:
+  - { name: a, registered: true, connection_cap: 26 }
+  - { name: b, registered: true, connection_cap: 9 }
+)";
+
+std::string searchersText(int revision, const std::string &state)
+{
+    return "revision: " + std::to_string(revision)
+           + "\nsearchers:\n  - { id: s-1, pool: a, address: \"127.0.0.1:9\", zone: z, state: "
+           + state + " }\n";
+}
+
+// Three files in a folder of their own.
+class Folder
+{
+public:
+    Folder()
+        : path(std::filesystem::temp_directory_path()
+               / ("quetzal-files-" + std::to_string(SteadyClock::now().count())))
+    {
+        std::filesystem::create_directory(this->path);
+        this->write("routes.yaml", routesText);
+        this->write("pools.yaml", poolsText);
+    }
+    ~Folder() { std::filesystem::remove_all(this->path); }
+
+    void write(const std::string &name, const std::string &text) const
+    {
+        std::ofstream(this->path / name) << text;
+    }
+
+    ViewFiles files() const
+    {
+        return { this->path / "routes.yaml", this->path / "pools.yaml",
+                 this->path / "searchers.yaml" };
+    }
+
+private:
+    std::filesystem::path path;
+};
+
+} // namespace
+
+TEST_CASE("tables with registered pools are written so that they read back equal")
+{
+    const auto parsed = parseTables("r.yaml", routesText, "p.yaml", poolsText);
+    REQUIRE(parsed.ok());
+    CHECK(parsed.value.routes[0].shardPools.size() == 2);
+    CHECK(parsed.value.routes[1].split.size() == 2);
+    CHECK(parsed.value.routes[1].kind == RouteKind::OneSearcher);
+    CHECK(parsed.value.routes[1].rank == 2);
+    CHECK(parsed.value.pools[1].connectionCap == 9);
+    const auto again = parseTables("r.yaml", formatRoutes(parsed.value.routes), "p.yaml",
+                                   formatPools(parsed.value.zones, parsed.value.pools));
+    REQUIRE(again.ok());
+    CHECK(again.value.routes == parsed.value.routes);
+    CHECK(again.value.pools == parsed.value.pools);
+    const auto error = [](std::string text, const std::string &part, const std::string &by) {
+        text.replace(text.find(part), part.size(), by);
+        const auto broken = parseTables("r.yaml", text, "p.yaml", poolsText);
+        return broken.errors.empty() ? std::string() : broken.errors.front();
+    };
+    CHECK(error(routesText, "[a, b]", "[a, c]").starts_with("r.yaml:2: route \"all\": pool \"c\""));
+    CHECK(error(routesText, "shard_pools: [a, b]", "pool: a, shard_pools: [b]")
+                  .starts_with("r.yaml:2: route \"all\": one of"));
+    CHECK(error(routesText, "weight: 3", "weight: -3")
+                  .starts_with("r.yaml:5: route \"some\": split"));
+}
+
+TEST_CASE("a searchers' file is checked field by field")
+{
+    const std::string valid = searchersText(3, "ready");
+    const auto parsed = parseSearchers("s.yaml", valid);
+    REQUIRE(parsed.ok());
+    CHECK(parsed.value.revision == 3);
+    CHECK(parsed.value.searchers[0].pool == "a");
+    const auto error = [&](const std::string &part, const std::string &by) {
+        std::string text = valid;
+        text.replace(text.find(part), part.size(), by);
+        const auto broken = parseSearchers("s.yaml", text);
+        return broken.errors.empty() ? std::string() : broken.errors.front();
+    };
+    CHECK(error("127.0.0.1:9", "nowhere").starts_with("s.yaml:3: searcher \"s-1\": address"));
+    CHECK(error("state: ready", "state: resting").starts_with("s.yaml:3: searcher \"s-1\": state"));
+    CHECK(error("revision: 3", "revision: none").starts_with("s.yaml:1: searchers: "));
+    CHECK(error("zone: z", "zon: z").starts_with("s.yaml:3: searcher \"s-1\": unknown field"));
+    CHECK_FALSE(parseSearchers("s.yaml", "").ok());
+    CHECK_FALSE(parseSearchers("s.yaml", "searchers: 4").ok());
+}
+
+TEST_CASE("files are taken whole when their revision is raised, and a mistake changes nothing")
+{
+    const Folder folder;
+    EventLoop loop;
+    ServingView view;
+    FileFeed feed(loop, folder.files(), view);
+    feed.start();
+    CHECK_FALSE(feed.isHealthy());
+    CHECK_FALSE(view.tables());
+    folder.write("searchers.yaml", searchersText(3, "ready"));
+    feed.refresh();
+    CHECK(feed.isHealthy());
+    REQUIRE(view.tables());
+    CHECK(view.tablesRevision().value == 3);
+    CHECK(view.directory().records().at("s-1").entry.state == SearcherState::Ready);
+    folder.write("searchers.yaml", searchersText(3, "draining"));
+    feed.refresh();
+    CHECK_FALSE(feed.isHealthy());
+    CHECK(view.directory().records().at("s-1").entry.state == SearcherState::Ready);
+    folder.write("searchers.yaml", searchersText(4, "draining"));
+    folder.write("routes.yaml", "routes: [");
+    feed.refresh();
+    CHECK(view.tablesRevision().value == 3);
+    folder.write("routes.yaml", routesText);
+    feed.refresh();
+    CHECK(view.tablesRevision().value == 4);
+    CHECK(view.directory().records().at("s-1").entry.state == SearcherState::Draining);
+}
+
+TEST_CASE("settings name a store or files, not both")
+{
+    const std::string head = "host: { name: a, zone: z }\n"
+                             "listen: { callers: \"127.0.0.1:1\", ready: \"127.0.0.1:2\", "
+                             "view: \"127.0.0.1:3\", heartbeat: \"127.0.0.1:4\" }\n";
+    const std::string files = "files: { routes: r, pools: p, searchers: s }\n";
+    const std::string store = "store: { address: \"127.0.0.1:5\" }\n";
+    CHECK(parseGatewaySettings("g.yaml", head + store).ok());
+    const auto parsed = parseGatewaySettings("g.yaml", head + files);
+    CHECK(parsed.ok());
+    CHECK(parsed.value.files.pools == "p");
+    CHECK_FALSE(parseGatewaySettings("g.yaml", head).ok());
+    CHECK_FALSE(parseGatewaySettings("g.yaml", head + store + files).ok());
+}
+
+TEST_CASE("a searcher of the stand-in seals its records and refuses what is for another one")
+{
+    EventLoop loop;
+    DirectoryEntry entry;
+    entry.id = std::string("s-1");
+    entry.pool = std::string("a");
+    entry.address = std::string("127.0.0.1:0");
+    const std::uint16_t port = [] {
+        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+        return socket.address().port();
+    }();
+    entry.address = "127.0.0.1:" + std::to_string(port);
+    const RecordStandin searchers(loop, HeaderNames(), { entry }, RecordBehaviour(), 1);
+    std::vector<HttpResponse> responses;
+    std::shared_ptr<HttpClient> client;
+    const auto ask = [&](const std::string &searcher) {
+        client->send("GET", "/", { { "X-Quetzal-Searcher", searcher } }, "");
+    };
+    HttpClientCallbacks callbacks;
+    callbacks.onConnected = [&] { ask("s-1"); };
+    callbacks.onResponse = [&](const HttpResponse &response) {
+        responses.push_back(response);
+        if (responses.size() == 2)
+            loop.stop();
+        else
+            ask("s-2");
+    };
+    client = HttpClient::connect(loop, entry.address, callbacks);
+    loop.run();
+    REQUIRE(responses.size() == 2);
+    CHECK(responses[0].head.getStatus() == 200);
+    CHECK(responses[0].head.has("X-Quetzal-Seal"));
+    CHECK(responses[0].body.size() == 320);
+    CHECK(responses[1].head.getStatus() == 421);
+    CHECK(searchers.runs() == 1);
+}
