--- /dev/null
+++ b/bench/gateways.cpp
@@ -0,0 +1,109 @@
+// What each decision of a gateway earns, in virtual time, beside the same without it.
+#include "bench/report.h"
+#include "bench/virtual/virtualgateways.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of all scenarios");
+ABSL_FLAG(std::string, only, "", "run the scenarios whose name contains this");
+
+namespace quetzal {
+
+namespace {
+
+struct Scenario
+{
+    std::string name;
+    std::function<void(GatewaySetup &)> apply;
+    // Share of the worth that must be earned.
+    double leastWorth = 0;
+};
+
+struct Variant
+{
+    std::string name;
+    std::function<void(GatewayPolicy &)> apply;
+};
+
+// Two kinds of requests over the same shards, as the users' catalogue searches are.
+std::vector<VirtualRoute> catalogueRoutes()
+{
+    return { { 67.5, Millis(20), Millis(200), Millis(800), 0.89, 2, 0.1 },
+             { 22.5, Millis(6.7), Millis(100), Millis(400), 0.75, 1, 0.1 } };
+}
+
+std::vector<Scenario> scenarios()
+{
+    return { { "calm", [](GatewaySetup &) {}, 0.95 },
+             { "slow", [](GatewaySetup &setup) { setup.slowShare = 0.15; }, 0.9 },
+             { "silent-shard", [](GatewaySetup &setup) { setup.silentShards = 1; }, 0.85 },
+             { "pressure", [](GatewaySetup &setup) { setup.pressure = 1.7; }, 0.85 } };
+}
+
+std::vector<Variant> variants()
+{
+    return { { "no-extras", [](GatewayPolicy &policy) { policy.extras = false; } },
+             { "no-observations", [](GatewayPolicy &policy) { policy.observations = false; } },
+             { "waits-for-all", [](GatewayPolicy &policy) { policy.answersAtTarget = false; } },
+             { "no-cancelling", [](GatewayPolicy &policy) { policy.cancelling = false; } } };
+}
+
+GatewayFigures play(const Scenario &scenario, const GatewayPolicy &policy, std::uint64_t seed)
+{
+    GatewaySetup setup;
+    setup.seed = seed;
+    setup.routes = catalogueRoutes();
+    setup.policy = policy;
+    scenario.apply(setup);
+    return VirtualGateways(setup).run();
+}
+
+void report(Report &lines, const std::string &name, const GatewayFigures &figures)
+{
+    lines.figure(name + "/worth", figures.worth(), "share");
+    lines.figure(name + "/in-target",
+                 static_cast<double>(figures.inTarget) / static_cast<double>(figures.asked),
+                 "share");
+    lines.figure(name + "/extra", figures.extraShare, "share");
+}
+
+void playAll(Report &lines, std::uint64_t seed, const std::string &only)
+{
+    // Two runs of one policy differ by up to this much, as a drawn choice changes all later ones.
+    static constexpr double noise = 0.02;
+    static constexpr double budget = 0.2;
+    for (const Scenario &scenario : scenarios()) {
+        if (scenario.name.find(only) == std::string::npos)
+            continue;
+        const std::string prefix = "gateways/" + scenario.name + "/";
+        const GatewayFigures ours = play(scenario, GatewayPolicy(), seed);
+        report(lines, prefix + "ours", ours);
+        lines.atLeast(prefix + "ours/worth-bound", ours.worth(), "share", scenario.leastWorth);
+        lines.atMost(prefix + "ours/extra-bound", ours.extraShare, "share", budget);
+        for (const Variant &variant : variants()) {
+            GatewayPolicy policy;
+            variant.apply(policy);
+            const GatewayFigures without = play(scenario, policy, seed);
+            report(lines, prefix + variant.name, without);
+            lines.atLeast(prefix + "ours-against-" + variant.name, ours.worth(), "share",
+                          without.worth() - noise);
+        }
+    }
+}
+
+} // namespace
+
+} // namespace quetzal
+
+int main(int argc, char **argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    quetzal::Report lines;
+    quetzal::playAll(lines, absl::GetFlag(FLAGS_seed), absl::GetFlag(FLAGS_only));
+    return lines.print();
+}
--- /dev/null
+++ b/bench/virtual/virtualgateways.cpp
@@ -0,0 +1,349 @@
+#include "bench/virtual/virtualgateways.h"
+
+#include "quetzal/fault.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quetzal {
+
+static constexpr Millis settling = Millis(3000);
+// Time after which the end of an abandoned attempt is known at its host.
+static constexpr Millis abandonTime = Millis(250);
+static constexpr Millis silenceTime = Millis(300);
+static constexpr double retryRatio = 0.2 * 0.8;
+static constexpr double retrySlack = 54 * 0.8;
+static constexpr Millis zoneReluctance = Millis(35);
+static constexpr double tailShare = 0.01;
+static constexpr double tailFactor = 5;
+static constexpr double workSpread = 0.35;
+
+// A request on its way to a searcher, in its queue or at work.
+struct VirtualGateways::Job
+{
+    std::shared_ptr<Request> request;
+    std::uint32_t ordinal = 0;
+    std::shared_ptr<TrackedSearcher> tracked;
+    Searcher *searcher = nullptr;
+    Millis way;
+    bool ended = false;
+    bool withdrawn = false;
+};
+
+struct VirtualGateways::Searcher
+{
+    std::size_t shard = 0;
+    std::size_t zone = 0;
+    Millis pausePhase;
+    bool isSlow = false;
+    std::uint32_t running = 0;
+    std::deque<std::shared_ptr<Job>> waiting;
+};
+
+struct VirtualGateways::Host
+{
+    std::size_t zone = 0;
+    std::vector<std::shared_ptr<ShardPool>> pools;
+    std::map<const TrackedSearcher *, Searcher *> searcherOf;
+    std::vector<RoutePace> paces;
+};
+
+struct VirtualGateways::Request
+{
+    Host *host = nullptr;
+    std::size_t route = 0;
+    QueryId id;
+    Millis arrivedAt;
+    std::unique_ptr<Scatter> scatter;
+    std::map<std::uint32_t, std::shared_ptr<Job>> jobs;
+    bool counted = false;
+    bool done = false;
+};
+
+VirtualGateways::VirtualGateways(const GatewaySetup &setup)
+    : setup(setup)
+    , random(setup.seed)
+{
+    for (std::size_t shard = 0; shard < setup.shards; ++shard) {
+        for (std::size_t i = 0; i < setup.searchersPerShard; ++i) {
+            auto searcher = std::make_unique<Searcher>();
+            searcher->shard = shard;
+            searcher->zone = (shard + i) % setup.zones;
+            searcher->pausePhase = setup.pausePeriod * this->draw();
+            searcher->isSlow = this->draw() < setup.slowShare;
+            this->searchers.push_back(std::move(searcher));
+        }
+    }
+    RetryWindowOptions budget;
+    budget.ratio = retryRatio;
+    budget.slack = retrySlack / static_cast<double>(setup.hosts);
+    for (std::size_t index = 0; index < setup.hosts; ++index) {
+        auto host = std::make_unique<Host>();
+        host->zone = index % setup.zones;
+        host->paces.resize(setup.routes.size());
+        for (std::size_t shard = 0; shard < setup.shards; ++shard)
+            host->pools.push_back(
+                    std::make_shared<ShardPool>(std::to_string(shard), budget, this->random()));
+        for (const auto &searcher : this->searchers) {
+            DirectoryEntry entry;
+            entry.id = std::to_string(this->random());
+            entry.slots = setup.slots;
+            const bool isNear = searcher->zone == host->zone;
+            const auto tracked = std::make_shared<TrackedSearcher>(
+                    entry, isNear ? Millis() : setup.zoneDistance * 2, Millis(),
+                    isNear ? Millis() : zoneReluctance);
+            tracked->setConnectionLimit(2);
+            host->pools[searcher->shard]->add(tracked);
+            host->searcherOf[tracked.get()] = searcher.get();
+        }
+        this->hosts.push_back(std::move(host));
+    }
+}
+
+VirtualGateways::~VirtualGateways() = default;
+
+double VirtualGateways::draw()
+{
+    static constexpr std::uint64_t steps = 1'000'000;
+    return static_cast<double>(this->random() % steps) / steps;
+}
+
+bool VirtualGateways::inTrouble() const
+{
+    const Millis since = this->time.now() - this->setup.troubleAt;
+    return since >= Millis(0) && since < this->setup.troubleFor;
+}
+
+GatewayFigures VirtualGateways::run()
+{
+    for (std::size_t route = 0; route < this->setup.routes.size(); ++route)
+        this->arrive(route);
+    this->time.runUntil(this->setup.length + settling);
+    this->figures.extraShare
+            = static_cast<double>(this->extras) / static_cast<double>(std::max(1UL, this->firsts));
+    this->figures.partial = static_cast<double>(this->partials)
+                            / static_cast<double>(std::max(1UL, this->answers));
+    return this->figures;
+}
+
+void VirtualGateways::arrive(std::size_t route)
+{
+    if (this->time.now() >= this->setup.length)
+        return;
+    static constexpr double millisPerSecond = 1000;
+    const double rate
+            = this->setup.routes[route].perSecond * (this->inTrouble() ? this->setup.pressure : 1);
+    const double gap = -std::log(1 - this->draw()) * millisPerSecond / rate;
+    this->time.after(Millis(gap), [this, route] {
+        this->begin(route);
+        this->arrive(route);
+    });
+}
+
+void VirtualGateways::begin(std::size_t route)
+{
+    const VirtualRoute &kind = this->setup.routes[route];
+    const Millis now = this->time.now();
+    const auto request = std::make_shared<Request>();
+    request->host = this->hosts[this->random() % this->hosts.size()].get();
+    request->route = route;
+    request->id = { ++this->lastId };
+    request->arrivedAt = now;
+    request->counted = now >= settling;
+    ScatterPlan plan;
+    plan.id = request->id;
+    plan.merged = true;
+    plan.deadline = now + kind.deadline;
+    plan.target = this->setup.policy.answersAtTarget ? now + kind.target : plan.deadline;
+    plan.minCoverage = kind.minCoverage;
+    plan.maxAttempts = this->setup.policy.extras ? 2 : 1;
+    request->scatter
+            = std::make_unique<Scatter>(plan, request->host->pools, request->host->paces[route]);
+    if (request->counted) {
+        this->figures.asked += 1;
+        this->figures.owed += kind.worth;
+        this->firsts += this->setup.shards;
+    }
+    ScatterActions actions;
+    request->scatter->start(now, actions);
+    this->perform(request, actions);
+}
+
+void VirtualGateways::perform(const std::shared_ptr<Request> &request, ScatterActions &actions)
+{
+    for (const ScatterSend &attempt : actions.send) {
+        if (std::erase(actions.abandon, attempt.ordinal) == 0)
+            this->send(request, attempt);
+    }
+    for (const std::uint32_t ordinal : actions.abandon) {
+        const std::shared_ptr<Job> job = request->jobs.at(ordinal);
+        if (!this->setup.policy.cancelling)
+            continue;
+        this->time.after(job->way, [this, job] {
+            job->withdrawn = true;
+            std::erase(job->searcher->waiting, job);
+        });
+        this->time.after(abandonTime, [this, job] {
+            this->reply(job, { Verdict::MayHaveRun, Fault::Cancelled, Hop::Searcher });
+        });
+    }
+    if (actions.answer) {
+        request->done = true;
+        this->answer(*request, *actions.answer);
+        return;
+    }
+    if (request->scatter->nextTimer() < Millis::never())
+        this->armTimer(request);
+}
+
+void VirtualGateways::armTimer(const std::shared_ptr<Request> &request)
+{
+    const Millis due = request->scatter->nextTimer();
+    this->time.at(due, [this, request, due] {
+        if (request->done || request->scatter->nextTimer() != due)
+            return;
+        ScatterActions actions;
+        request->scatter->onTimer(this->time.now(), actions);
+        this->perform(request, actions);
+    });
+}
+
+void VirtualGateways::send(const std::shared_ptr<Request> &request, const ScatterSend &attempt)
+{
+    const auto job = std::make_shared<Job>();
+    job->request = request;
+    job->ordinal = attempt.ordinal;
+    job->tracked = attempt.searcher;
+    job->searcher = request->host->searcherOf.at(attempt.searcher.get());
+    const bool isNear = job->searcher->zone == request->host->zone;
+    job->way = isNear ? Millis(0.2) : this->setup.zoneDistance;
+    request->jobs[attempt.ordinal] = job;
+    if (attempt.extra && request->counted)
+        this->extras += 1;
+    if (this->setup.policy.observations)
+        attempt.searcher->onSent({ request->id, attempt.ordinal }, attempt.typical,
+                                 this->time.now());
+    this->time.after(job->way, [this, job] { this->reach(job); });
+}
+
+void VirtualGateways::reach(const std::shared_ptr<Job> &job)
+{
+    Searcher &searcher = *job->searcher;
+    if (job->withdrawn)
+        return;
+    if (searcher.running < this->setup.slots)
+        this->work(searcher, job);
+    else if (searcher.waiting.size() < this->setup.queue)
+        searcher.waiting.push_back(job);
+    else
+        this->time.after(job->way, [this, job] {
+            this->reply(job, { Verdict::NotRun, Fault::Shed, Hop::Searcher });
+        });
+}
+
+// Returns when a run of so much work ends at a searcher that pauses now and then.
+Millis VirtualGateways::afterPauses(const Searcher &searcher, Millis from, Millis work) const
+{
+    static constexpr Millis rounding = Millis(1e-6);
+    Millis at = from;
+    Millis left = work;
+    for (;;) {
+        const double period = this->setup.pausePeriod.count();
+        const double phase = std::fmod(at.count() + searcher.pausePhase.count(), period);
+        const Millis toPause(period - this->setup.pause.count() - phase);
+        if (toPause <= rounding) {
+            at += Millis(period - phase) + rounding;
+            continue;
+        }
+        if (left <= toPause)
+            return at + left;
+        left = left - toPause;
+        at += toPause;
+    }
+}
+
+void VirtualGateways::work(Searcher &searcher, const std::shared_ptr<Job> &job)
+{
+    searcher.running += 1;
+    const VirtualRoute &kind = this->setup.routes[job->request->route];
+    if (this->inTrouble() && searcher.shard < this->setup.silentShards) {
+        // The connection is closed once its reply is overdue, which ends the work.
+        this->time.after(kind.deadline + silenceTime, [this, &searcher, job] {
+            searcher.running -= 1;
+            this->startNext(searcher);
+            this->reply(job, { Verdict::MayHaveRun, Fault::SilentConnection, Hop::Entry });
+        });
+        return;
+    }
+    std::lognormal_distribution<double> spread(-workSpread * workSpread / 2, workSpread);
+    double factor = spread(this->random);
+    if (this->draw() < tailShare)
+        factor *= tailFactor;
+    if (searcher.isSlow && this->inTrouble())
+        factor *= this->setup.slowFactor;
+    const Millis end = this->afterPauses(searcher, this->time.now(), kind.work * factor);
+    this->time.at(end, [this, &searcher, job] { this->finish(searcher, job); });
+}
+
+void VirtualGateways::startNext(Searcher &searcher)
+{
+    while (searcher.running < this->setup.slots && !searcher.waiting.empty()) {
+        const std::shared_ptr<Job> next = searcher.waiting.front();
+        searcher.waiting.pop_front();
+        this->work(searcher, next);
+    }
+}
+
+void VirtualGateways::finish(Searcher &searcher, const std::shared_ptr<Job> &job)
+{
+    searcher.running -= 1;
+    this->startNext(searcher);
+    LoadReport load;
+    load.running = searcher.running;
+    load.waiting = static_cast<std::uint32_t>(searcher.waiting.size());
+    this->time.after(job->way, [this, job, load] {
+        if (this->setup.policy.observations)
+            job->tracked->onLoad(load, this->time.now());
+        this->reply(job, { Verdict::Ran, {}, Hop::Searcher });
+    });
+}
+
+void VirtualGateways::reply(const std::shared_ptr<Job> &job, const Outcome &outcome)
+{
+    if (job->ended)
+        return;
+    job->ended = true;
+    const Millis now = this->time.now();
+    const std::shared_ptr<Request> request = job->request;
+    if (this->setup.policy.observations)
+        job->tracked->onEnd({ request->id, job->ordinal }, outcome, now);
+    if (outcome.succeeded())
+        request->host->paces[request->route].add(now, now - request->arrivedAt);
+    if (request->done)
+        return;
+    SearcherReply reply;
+    reply.status = outcome.succeeded() ? 200 : 503;
+    ScatterActions actions;
+    request->scatter->onEnd(now, job->ordinal, outcome, std::move(reply), actions);
+    this->perform(request, actions);
+}
+
+void VirtualGateways::answer(Request &request, const ScatterAnswer &answer)
+{
+    if (!request.counted)
+        return;
+    const VirtualRoute &kind = this->setup.routes[request.route];
+    if (!answer.outcome.succeeded()) {
+        this->figures.failed += 1;
+        return;
+    }
+    const double share
+            = 1 - static_cast<double>(answer.missing) / static_cast<double>(this->setup.shards);
+    const bool inTarget = this->time.now() - request.arrivedAt <= kind.target;
+    this->answers += 1;
+    this->partials += answer.missing > 0 ? 1 : 0;
+    this->figures.inTarget += inTarget ? 1 : 0;
+    this->figures.earned += (inTarget ? kind.worth : kind.lateWorth) * share * share;
+}
+
+} // namespace quetzal
