--- /dev/null
+++ b/bench/virtual/virtuallinks.cpp
@@ -0,0 +1,354 @@
+// Relays, their connections to searchers, and the channels between hosts of a virtual tier.
+#include "bench/virtual/virtualhost.h"
+
+#include <algorithm>
+
+namespace quetzal {
+
+static constexpr Millis nearDelay = Millis(0.2);
+static constexpr Millis channelLifetime = Millis(2000);
+static constexpr std::uint32_t directConnections = 3;
+static constexpr Millis tcpRetransmission = Millis(200);
+static constexpr int queryShift = 40;
+
+VirtualTier::Relay &VirtualTier::relay(Host &host, SearcherId searcher)
+{
+    std::unique_ptr<Relay> &entry = host.relays[searcher];
+    if (!entry) {
+        const bool direct = this->setup.mode == TierMode::Direct;
+        const std::uint32_t slots = direct ? directConnections : this->setup.slots;
+        const std::uint32_t cap = direct ? directConnections : this->setup.connectionCap;
+        entry = std::make_unique<Relay>(
+                searcher, SearcherLimits{ slots, cap, this->setup.connectCost }, this->setup.relay);
+    }
+    return *entry;
+}
+
+void VirtualTier::deliverAttempt(Host &relayHost, std::uint32_t entry, const Attempt &attempt,
+                                 Millis budget)
+{
+    if (relayHost.stale && entry != relayHost.number) {
+        AttemptResult result;
+        result.id = attempt.id;
+        result.outcome = { Verdict::NotRun, Fault::ProcessPaused, Hop::Relay };
+        this->sendResult(relayHost, entry, result);
+        return;
+    }
+    Relay &target = this->relay(relayHost, attempt.searcher);
+    const WorkKey key = { hostId(entry), attempt.id };
+    const Millis now = this->clock.now();
+    target.works[key] = attempt;
+    target.deadlines[key] = now + budget;
+    RelayActions actions;
+    target.queue.submit({ key, now + budget, attempt.repeatable }, now, actions);
+    this->runRelay(relayHost, target, actions);
+}
+
+void VirtualTier::runRelay(Host &host, Relay &relay, const RelayActions &actions)
+{
+    for (const RelayAction &action : actions) {
+        switch (action.kind) {
+        case RelayActionKind::Open:
+            this->relayOpen(host, relay, action.connection);
+            break;
+        case RelayActionKind::Send:
+            this->relaySend(host, relay, action.connection, action.work);
+            break;
+        case RelayActionKind::Probe: {
+            const std::uint64_t remote = relay.connections.at(action.connection).remote;
+            const ConnectionNumber number = action.connection;
+            this->clock.after(nearDelay, [this, &host, &relay, remote, number] {
+                this->fake(relay.id).probe(remote, [this, &host, &relay, number] {
+                    this->clock.after(nearDelay, [this, &host, &relay, number] {
+                        this->onHost(host.number, [this, &host, &relay, number] {
+                            RelayActions next;
+                            relay.queue.onProbeReply(number, this->clock.now(), next);
+                            this->runRelay(host, relay, next);
+                        });
+                    });
+                });
+            });
+            break;
+        }
+        case RelayActionKind::Close:
+            if (const auto found = relay.connections.find(action.connection);
+                found != relay.connections.end()) {
+                const std::uint64_t remote = found->second.remote;
+                relay.connections.erase(found);
+                this->clock.after(nearDelay, [this, id = relay.id, remote] {
+                    this->fake(id).disconnect(remote);
+                });
+            }
+            break;
+        case RelayActionKind::Report: {
+            if (relay.works.erase(action.work) == 0)
+                break;
+            relay.deadlines.erase(action.work);
+            AttemptResult result;
+            result.id = action.work.attempt;
+            result.outcome = action.outcome;
+            for (std::uint32_t entry = 0; entry < this->setup.hosts; ++entry) {
+                if (hostId(entry) == action.work.entry)
+                    this->sendResult(host, entry, result);
+            }
+            break;
+        }
+        }
+    }
+    this->armRelay(host, relay);
+}
+
+void VirtualTier::armRelay(Host &host, Relay &relay)
+{
+    const Millis next = relay.queue.nextTimer();
+    if (next == relay.timerAt || next == Millis::never())
+        return;
+    relay.timerAt = next;
+    this->clock.at(next, [this, &host, &relay, next] {
+        this->onHost(host.number, [this, &host, &relay, next] {
+            if (relay.timerAt != next)
+                return;
+            relay.timerAt = Millis::never();
+            RelayActions actions;
+            relay.queue.onTimer(this->clock.now(), actions);
+            this->runRelay(host, relay, actions);
+        });
+    });
+}
+
+Millis VirtualTier::searcherDelay(const Host &host, SearcherId searcher)
+{
+    if (this->zones.at(searcher) == this->zoneOfHost(host.number))
+        return nearDelay;
+    // TCP between zones: a lost segment costs the kernel's retransmission.
+    const bool lost = this->draw() < this->setup.loss;
+    return this->setup.zoneDelay + this->setup.zoneJitter * this->draw()
+           + (lost ? tcpRetransmission : Millis(0));
+}
+
+void VirtualTier::relayOpen(Host &host, Relay &relay, ConnectionNumber number)
+{
+    relay.connections[number] = {};
+    const Millis way = this->searcherDelay(host, relay.id);
+    this->clock.after(this->setup.connectCost + way * 2, [this, &host, &relay, number] {
+        const std::uint64_t remote = this->fake(relay.id).connect();
+        this->onHost(host.number, [this, &host, &relay, number, remote] {
+            const auto found = relay.connections.find(number);
+            if (found == relay.connections.end()) {
+                if (remote != 0)
+                    this->fake(relay.id).disconnect(remote);
+                return;
+            }
+            RelayActions actions;
+            if (remote == 0) {
+                relay.connections.erase(found);
+                relay.queue.onConnectFailed(number, this->clock.now(), actions);
+            } else {
+                found->second.remote = remote;
+                relay.queue.onConnected(number, this->clock.now(), actions);
+            }
+            this->runRelay(host, relay, actions);
+        });
+    });
+}
+
+void VirtualTier::relaySend(Host &host, Relay &relay, ConnectionNumber number, const WorkKey &key)
+{
+    const Attempt &attempt = relay.works.at(key);
+    FakeRequest request;
+    const std::uint32_t entryNumber
+            = static_cast<std::uint32_t>(key.attempt.query.value >> queryShift);
+    const Host &entry = *this->hosts[entryNumber];
+    const auto known = entry.requests.find(key.attempt.query);
+    request.request = known == entry.requests.end() ? 0 : known->second;
+    request.version = attempt.version;
+    request.shard = attempt.shard;
+    request.repeatable = attempt.repeatable;
+    request.deadline = relay.deadlines.at(key);
+    const std::uint64_t remote = relay.connections.at(number).remote;
+    const Millis sentAt = this->clock.now();
+    const Millis way = this->searcherDelay(host, relay.id);
+    this->clock.after(way, [this, &host, &relay, remote, request, number, key, sentAt] {
+        const auto answer = [this, &host, &relay, number, key, sentAt](const FakeReply &reply) {
+            const Millis back = this->searcherDelay(host, relay.id);
+            this->clock.after(back, [this, &host, &relay, number, key, reply, sentAt] {
+                this->onHost(host.number, [this, &host, &relay, number, key, reply, sentAt] {
+                    const auto work = relay.works.find(key);
+                    if (work == relay.works.end() || !relay.connections.contains(number))
+                        return;
+                    AttemptResult result;
+                    result.id = key.attempt;
+                    result.outcome = reply.outcome;
+                    result.answer.version = work->second.version;
+                    result.answer.shard = work->second.shard;
+                    result.answer.documents = reply.documents;
+                    result.service = this->clock.now() - sentAt;
+                    if (reply.outcome.code == Fault::VersionMissing)
+                        result.holdings = this->fake(relay.id).holdings;
+                    relay.works.erase(work);
+                    relay.deadlines.erase(key);
+                    RelayActions actions;
+                    relay.queue.onReply(number, this->clock.now(), actions);
+                    const auto to
+                            = static_cast<std::uint32_t>(key.attempt.query.value >> queryShift);
+                    this->sendResult(host, to, result);
+                    if (reply.draining && !relay.knowsDraining) {
+                        relay.knowsDraining = true;
+                        relay.queue.setDraining(true, this->clock.now(), actions);
+                        this->broadcast(relay.id, this->fake(relay.id).holdings, true);
+                    }
+                    this->runRelay(host, relay, actions);
+                });
+            });
+        };
+        this->fake(relay.id).submit(remote, request, answer);
+    });
+}
+
+void VirtualTier::sendResult(Host &relayHost, std::uint32_t entry, const AttemptResult &result)
+{
+    this->message(relayHost.number, entry,
+                  [this, entry, result] { this->deliverResult(*this->hosts[entry], result); });
+}
+
+void VirtualTier::deliverResult(Host &host, const AttemptResult &result)
+{
+    const auto found = host.queries.find(result.id.query);
+    if (found == host.queries.end())
+        return;
+    QueryActions actions;
+    found->second->onResult(this->clock.now(), result, actions);
+    this->perform(host, result.id.query, actions);
+}
+
+void VirtualTier::message(std::uint32_t from, std::uint32_t to, VirtualTime::Event event)
+{
+    if (from == to) {
+        this->clock.after(Millis(0), [this, to, event = std::move(event)]() mutable {
+            this->onHost(to, std::move(event));
+        });
+        return;
+    }
+    const std::uint64_t number = ++this->lastMessage;
+    this->inFlight[number] = std::move(event);
+    Channel &channel = *this->hosts[from]->channels[to];
+    const Millis now = this->clock.now();
+    this->transmit(from, to, channel.send(std::to_string(number), now, now + channelLifetime));
+    this->armChannel(from, to);
+}
+
+void VirtualTier::transmit(std::uint32_t from, std::uint32_t to, const ChannelDatagram &datagram)
+{
+    const bool sameZone = this->zoneOfHost(from) == this->zoneOfHost(to);
+    if (!sameZone && this->draw() < this->setup.loss)
+        return;
+    const Millis delay
+            = sameZone ? nearDelay : this->setup.zoneDelay + this->setup.zoneJitter * this->draw();
+    this->clock.after(delay, [this, from, to, datagram] {
+        this->onHost(to, [this, from, to, datagram] { this->receive(from, to, datagram); });
+    });
+}
+
+void VirtualTier::receive(std::uint32_t from, std::uint32_t to, const ChannelDatagram &datagram)
+{
+    Channel &channel = *this->hosts[to]->channels[from];
+    const Channel::Receipt receipt = channel.onReceive(datagram.header, this->clock.now());
+    if (receipt == Channel::Receipt::Deliver) {
+        const std::uint64_t number = std::stoull(datagram.payload);
+        const auto found = this->inFlight.find(number);
+        if (found != this->inFlight.end()) {
+            const VirtualTime::Event event = std::move(found->second);
+            this->inFlight.erase(found);
+            event();
+        }
+    }
+    if (channel.ackDue())
+        this->transmit(to, from, channel.makeAck());
+    this->checkChannel(to, from);
+}
+
+void VirtualTier::armChannel(std::uint32_t from, std::uint32_t to)
+{
+    Host &host = *this->hosts[from];
+    const Millis next = host.channels[to]->nextTimer();
+    if (next == host.channelTimers[to] || next == Millis::never())
+        return;
+    host.channelTimers[to] = next;
+    this->clock.at(next, [this, from, to, next] {
+        this->onHost(from, [this, from, to, next] {
+            Host &sender = *this->hosts[from];
+            if (sender.channelTimers[to] != next)
+                return;
+            sender.channelTimers[to] = Millis::never();
+            for (const ChannelDatagram &again : sender.channels[to]->onTimer(this->clock.now()))
+                this->transmit(from, to, again);
+            this->checkChannel(from, to);
+            this->armChannel(from, to);
+        });
+    });
+}
+
+void VirtualTier::checkChannel(std::uint32_t from, std::uint32_t to)
+{
+    Host &host = *this->hosts[from];
+    const bool now = host.channels[to]->isUnresponsive(this->clock.now());
+    if (now == host.unresponsive.contains(to))
+        return;
+    if (!now) {
+        host.unresponsive.erase(to);
+        this->rebuildOwnership(host);
+        return;
+    }
+    host.unresponsive.insert(to);
+    this->rebuildOwnership(host);
+    std::vector<AttemptId> lost;
+    for (const auto &[attempt, owner] : host.owners) {
+        if (owner == to)
+            lost.push_back(attempt);
+    }
+    for (const AttemptId &attempt : lost) {
+        AttemptResult result;
+        result.id = attempt;
+        result.outcome = { Verdict::MayHaveRun, Fault::RelayLost, Hop::Entry };
+        this->deliverResult(host, result);
+    }
+}
+
+void VirtualTier::broadcast(const SearcherId &id, const std::vector<Holding> &holdings,
+                            bool draining)
+{
+    this->clock.after(this->setup.zoneDelay, [this, id, holdings, draining] {
+        for (const auto &host : this->hosts) {
+            this->onHost(host->number, [&host, id, holdings, draining] {
+                host->search->book.report(id, holdings);
+                host->search->book.setDraining(id, draining);
+                host->orders->book.setDraining(id, draining);
+            });
+        }
+    });
+}
+
+void VirtualTier::reportHoldings(std::size_t index, Millis delay)
+{
+    // The owner's next status call.
+    this->clock.after(delay, [this, index] {
+        FakeSearcher &searcher = *this->searchers[index];
+        if (!searcher.isUp())
+            return;
+        const SearcherId id = this->searcherIds[index];
+        this->broadcast(id, searcher.holdings, searcher.isDraining());
+        for (const auto &host : this->hosts) {
+            const auto relay = host->relays.find(id);
+            if (relay == host->relays.end())
+                continue;
+            if (relay->second->knowsDraining == searcher.isDraining())
+                continue;
+            relay->second->knowsDraining = searcher.isDraining();
+            RelayActions actions;
+            relay->second->queue.setDraining(searcher.isDraining(), this->clock.now(), actions);
+            this->runRelay(*host, *relay->second, actions);
+        }
+    });
+}
+
+} // namespace quetzal
--- a/src/process/hostagent.h
+++ b/src/process/hostagent.h
@@ -141,4 +141,12 @@
     TimerId tablesTimer = 0;
 };
 
+template <typename Message>
+void HostAgent::sendMessage(HostId to, MessageKind kind, const Message &message, Millis lifetime)
+{
+    std::string payload(1, static_cast<char>(kind));
+    payload += encode(message);
+    this->link->send(to, std::move(payload), lifetime);
+}
+
 } // namespace quetzal
