quetzalctl trace goes from a request's id to its cause

Cause: on-call engineers had to grep the lines of all hosts and know the codes.

Change: `quetzalctl trace ID FILE...` reads the saved logs of all hosts, puts one request's lines in order of time and names the cause from its end, its failed attempts and the relays that lacked parts; `--sample N` draws failed or partial requests at random.

--- a/apps/quetzalctl.cpp
+++ b/apps/quetzalctl.cpp
@@ -1,7 +1,9 @@
 // quetzalctl: the operators' tool for routes and pools.
+#include "process/logtrace.h"
 #include "version/httpstore.h"
 #include "version/tableeditor.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <fstream>
@@ -31,6 +33,8 @@
 ABSL_FLAG(std::vector<std::string>, hosts, {}, "admin addresses of the hosts, comma-separated");
 ABSL_FLAG(double, wait, 0, "apply, rollback: seconds to wait until in force on all hosts");
 ABSL_FLAG(std::uint64_t, keep, 50, "gc: revisions whose chunks are kept");
+ABSL_FLAG(std::size_t, sample, 0, "trace: failed requests to draw at random");
+ABSL_FLAG(std::uint64_t, seed, 1, "trace: seed of the draw");
 ABSL_FLAG(std::string, url, "", "explain: request to ask, as http://HOST:PORT/PATH");
 
 namespace {
@@ -273,16 +277,79 @@
     return exitOk;
 }
 
+// Reads the saved logs of several hosts. Returns nothing after it named a file it cannot read.
+std::optional<std::vector<LogLine>> readLogs(const std::vector<std::string> &paths)
+{
+    std::vector<LogLine> lines;
+    for (const std::string &path : paths) {
+        std::ifstream file(path);
+        if (!file) {
+            std::cerr << "quetzalctl: cannot read log \"" << path << "\"\n";
+            return std::nullopt;
+        }
+        for (std::string text; std::getline(file, text);) {
+            if (auto line = parseLogLine(text, path))
+                lines.push_back(std::move(*line));
+        }
+    }
+    return lines;
+}
+
+void printTrace(const std::string &id, const RequestTrace &trace)
+{
+    for (const LogLine &line : trace.lines) {
+        std::cout << line.time << "  " << line.host << "  " << line.event;
+        for (const auto &[key, value] : line.fields) {
+            if (key != "id")
+                std::cout << " " << key << "=" << value;
+        }
+        std::cout << "\n";
+    }
+    std::cout << "cause of " << id << ": " << trace.cause << "\n";
+}
+
+// trace ID FILE...: one request. trace FILE... with --sample N: N failed ones drawn at random.
+int trace(const std::vector<std::string> &arguments)
+{
+    const std::size_t sample = absl::GetFlag(FLAGS_sample);
+    const bool draws = sample > 0;
+    if (arguments.size() < (draws ? 1U : 2U)) {
+        std::cerr << "quetzalctl: trace ID FILE..., or trace --sample N FILE..., is expected\n";
+        return exitUsage;
+    }
+    const auto lines = readLogs({ arguments.begin() + (draws ? 0 : 1), arguments.end() });
+    if (!lines)
+        return exitUsage;
+    if (!draws) {
+        const RequestTrace found = traceRequest(*lines, arguments.front());
+        printTrace(arguments.front(), found);
+        return found.explained ? exitOk : exitUnavailable;
+    }
+    std::vector<std::string> ids = failedRequests(*lines);
+    std::shuffle(ids.begin(), ids.end(), std::mt19937_64(absl::GetFlag(FLAGS_seed)));
+    ids.resize(std::min(ids.size(), sample));
+    std::size_t explained = 0;
+    for (const std::string &id : ids) {
+        const RequestTrace found = traceRequest(*lines, id);
+        std::cout << id << ": " << found.cause << "\n";
+        explained += found.explained ? 1 : 0;
+    }
+    std::cout << explained << " of " << ids.size() << " explained\n";
+    return explained == ids.size() ? exitOk : exitUnavailable;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     absl::SetProgramUsageMessage(
-            "quetzalctl apply|get|diff|history|rollback|status|gc|explain [flags]\n"
+            "quetzalctl apply|get|diff|history|rollback|status|gc|explain|trace [flags]\n"
             "Exit codes: 0 done, 1 refused, 2 bad input, 3 no answer, 4 accepted but not yet in "
             "force everywhere.");
     const std::vector<char *> arguments = absl::ParseCommandLine(argc, argv);
     const std::string command = arguments.size() > 1 ? arguments[1] : "";
+    if (command == "trace")
+        return trace({ arguments.begin() + 2, arguments.end() });
     HttpStore store(absl::GetFlag(FLAGS_store), storePatience);
     Editor editor(store, std::random_device()());
     if (command == "apply")
@@ -301,7 +368,8 @@
         return collect(editor);
     if (command == "explain")
         return explain();
-    std::cerr << "quetzalctl: \"" << command
-              << "\" is not one of apply, get, diff, history, rollback, status, gc, explain\n";
+    std::cerr
+            << "quetzalctl: \"" << command
+            << "\" is not one of apply, get, diff, history, rollback, status, gc, explain, trace\n";
     return exitUsage;
 }
