Fuzzing of every decoder of outside bytes, which found a crash on a searchers' file

Cause: only the earlier path's decoders were tried with altered bytes.

Change: fuzz/ names the 14 decoders of callers' and searchers' messages, the store's pages, tables, registrations, YAML files, settings, frames, heartbeats, relay messages, views and log lines.

Found: a searchers' file without the list "searchers" threw instead of being refused with its line; mended, with a test.

--- /dev/null
+++ b/fuzz/decoders.h
@@ -0,0 +1,44 @@
+// Every decoder that faces outside bytes, for fuzzing.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace quetzal::fuzz {
+
+// What a decoder reads.
+enum class Decoder {
+    CallerRequest,
+    SearcherReply,
+    StorePage,
+    Tables,
+    Registration,
+    TableFiles,
+    SearchersFile,
+    Settings,
+    Frame,
+    Heartbeat,
+    RelayQuery,
+    RelayAnswer,
+    ViewDelta,
+    LogLine,
+};
+
+inline constexpr std::array<std::string_view, 14> decoderNames
+        = { "caller-request", "searcher-reply", "store-page", "tables",  "registration",
+            "table-files",    "searchers-file", "settings",   "frame",   "heartbeat",
+            "relay-query",    "relay-answer",   "view-delta", "log-line" };
+
+// Decodes bytes and drops the result. Must not crash, hang or allocate without bound.
+void decodeBytes(Decoder decoder, const std::string &bytes);
+
+// Returns valid inputs of a decoder.
+std::vector<std::string> samplesOf(Decoder decoder);
+
+// Alters samples of every decoder and decodes them. Returns the number of inputs.
+std::uint64_t runRounds(std::uint64_t seed, std::uint64_t rounds);
+
+} // namespace quetzal::fuzz
--- a/src/version/searchersyaml.cpp
+++ b/src/version/searchersyaml.cpp
@@ -41,7 +41,9 @@
     YamlReader reader(file);
     Parsed<SearchersFile> result;
     const YAML::Node root = reader.load(text);
-    if (root.IsDefined() && (!root.IsMap() || !root["searchers"].IsSequence()))
+    const bool isList = root.IsDefined() && root.IsMap() && root["searchers"].IsDefined()
+                        && root["searchers"].IsSequence();
+    if (root.IsDefined() && !isList)
         reader.fail(root, "a list \"searchers\" is expected");
     if (reader.errors().empty()) {
         reader.allowOnly(root, "searchers", { "revision", "searchers" });
--- a/tests/filefeedtest.cpp
+++ b/tests/filefeedtest.cpp
@@ -115,6 +115,7 @@
     CHECK(error("zone: z", "zon: z").starts_with("s.yaml:3: searcher \"s-1\": unknown field"));
     CHECK_FALSE(parseSearchers("s.yaml", "").ok());
     CHECK_FALSE(parseSearchers("s.yaml", "searchers: 4").ok());
+    CHECK_FALSE(parseSearchers("s.yaml", "revision: 4").ok());
 }
 
 TEST_CASE("files are taken whole when their revision is raised, and a mistake changes nothing")
