--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -29,6 +29,8 @@
 // From this many hosts on only some follow the store.
 static constexpr std::size_t largeFleet = 20;
 static constexpr std::size_t readersPerZone = 2;
+// Hosts that one line of the log names.
+static constexpr std::size_t mostNamed = 12;
 // Hosts that are told at once of a newer view.
 static constexpr std::size_t toldAtOnce = 4;
 // Without secrets in the settings the signature is a checksum only.
@@ -199,16 +201,31 @@
     this->timer = this->loop.schedule(now + tickPeriod, [this] { this->tick(); });
 }
 
+// Names the hosts whose state is another one than when it was told last, up to a few.
+void ViewExchange::logPeers(std::uint32_t count)
+{
+    std::string names;
+    std::size_t changed = 0;
+    for (const MemberInfo &member : this->membership.others()) {
+        const auto [known, isNew] = this->toldStates.try_emplace(member.id, member.state);
+        if (!isNew && known->second == member.state)
+            continue;
+        known->second = member.state;
+        if (++changed > mostNamed)
+            continue;
+        names += (names.empty() ? "" : ",") + member.name + "="
+                 + std::string(memberStateNames[static_cast<std::size_t>(member.state)]);
+    }
+    logEvent(LogEvent::PeersChanged, "alive=" + std::to_string(count) + " changed="
+                                             + std::to_string(changed) + " hosts=" + names);
+}
+
 void ViewExchange::countHosts(Millis now)
 {
     const auto count = static_cast<std::uint32_t>(this->membership.eligible(now).size());
     if (count != this->hosts) {
         this->hosts = count;
-        std::string names;
-        for (const MemberInfo &member : this->membership.others())
-            names += (names.empty() ? "" : ",") + member.name + "="
-                     + std::string(memberStateNames[static_cast<std::size_t>(member.state)]);
-        logEvent(LogEvent::PeersChanged, "alive=" + std::to_string(count) + " hosts=" + names);
+        this->logPeers(count);
     }
     // Alone, a host cannot tell a small fleet from a cut; new, it has not heard of all.
     if (count < 2 || now - this->startedAt < settlingTime)
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -83,6 +83,7 @@
     void onAnswer(const std::string &from, const HttpCallResult &result);
     void answer(HttpExchange &exchange);
     void countHosts(Millis now);
+    void logPeers(std::uint32_t count);
     void chooseReaders(Millis now);
     void tellOthers();
     std::string viewAddressOf(const std::string &heartbeatAddress) const;
@@ -108,6 +109,8 @@
     bool resting = false;
     std::uint64_t toldRevision = 0;
     std::uint32_t hosts = 0;
+    // States of other hosts as the log told them last.
+    std::map<HostId, MemberState> toldStates;
     double mostEquals = 0;
     Millis mostEqualsAt;
     Millis startedAt;
