--- a/bench/virtual/virtualgateways.cpp
+++ b/bench/virtual/virtualgateways.cpp
@@ -179,7 +179,7 @@
         const std::shared_ptr<Job> job = request->jobs.at(ordinal);
         if (!this->setup.policy.cancelling)
             continue;
-        this->time.after(job->way, [this, job] {
+        this->time.after(job->way, [job] {
             job->withdrawn = true;
             std::erase(job->searcher->waiting, job);
         });
--- a/fuzz/fuzzer.cpp
+++ b/fuzz/fuzzer.cpp
@@ -1,6 +1,8 @@
 // The entry of libFuzzer: the first byte picks the decoder, the rest is its input.
 #include "fuzz/decoders.h"
 
+// The name is libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     if (size == 0)
--- a/loadtool/runner.cpp
+++ b/loadtool/runner.cpp
@@ -28,7 +28,6 @@
 static constexpr Millis resendPause = Millis(50);
 static constexpr int mostResends = 4;
 static constexpr std::size_t mostOpen = 20'000;
-static constexpr int statusUnavailable = 503;
 
 // One entry host as the balancer sees it.
 struct Runner::Target
--- a/tests/logtracetest.cpp
+++ b/tests/logtracetest.cpp
@@ -40,23 +40,27 @@
 
 TEST_CASE("each kind of failed request gets its cause, from lines in any order")
 {
-    const auto lines = read(
-            { "2026-03-17T06:44:45.300 INFO  QZ2301 request-ended id=p route=r status=200 "
-              "code=none "
-              "parts=84/90 ms=75.5 missing=a,b",
-              "2026-03-17T06:44:45.290 INFO  QZ2307 relay-gathered id=p asked_by=4 parts=17/23 "
-              "code=shed ms=61 missing=a,b",
-              "2026-03-17T06:44:45.400 INFO  QZ2301 request-ended id=f route=r status=502 "
-              "code=connection-reset parts=0/1 ms=4.2",
-              "2026-03-17T06:44:45.399 INFO  QZ2303 attempt-failed id=f searcher=i-1 "
-              "verdict=may-have-run code=connection-reset status=0 ms=4",
-              "2026-03-17T06:44:45.500 INFO  QZ2302 request-refused id=d status=503 "
-              "code=no-version "
-              "host=h tables=0",
-              "2026-03-17T06:44:45.600 INFO  QZ2301 request-ended id=w route=r status=200 "
-              "code=none "
-              "parts=20/20 ms=30",
-              "2026-03-17T06:44:45.700 INFO  QZ2304 caller-gone id=g" });
+    const std::string partialEnd
+            = "2026-03-17T06:44:45.300 INFO  QZ2301 request-ended id=p route=r status=200 "
+              "code=none parts=84/90 ms=75.5 missing=a,b";
+    const std::string gathered
+            = "2026-03-17T06:44:45.290 INFO  QZ2307 relay-gathered id=p asked_by=4 parts=17/23 "
+              "code=shed ms=61 missing=a,b";
+    const std::string failedEnd
+            = "2026-03-17T06:44:45.400 INFO  QZ2301 request-ended id=f route=r status=502 "
+              "code=connection-reset parts=0/1 ms=4.2";
+    const std::string failedAttempt
+            = "2026-03-17T06:44:45.399 INFO  QZ2303 attempt-failed id=f searcher=i-1 "
+              "verdict=may-have-run code=connection-reset status=0 ms=4";
+    const std::string refusal
+            = "2026-03-17T06:44:45.500 INFO  QZ2302 request-refused id=d status=503 "
+              "code=no-version host=h tables=0";
+    const std::string whole
+            = "2026-03-17T06:44:45.600 INFO  QZ2301 request-ended id=w route=r status=200 "
+              "code=none parts=20/20 ms=30";
+    const std::string gone = "2026-03-17T06:44:45.700 INFO  QZ2304 caller-gone id=g";
+    const auto lines
+            = read({ partialEnd, gathered, failedEnd, failedAttempt, refusal, whole, gone });
     CHECK(failedRequests(lines) == std::vector<std::string>{ "p", "f", "d" });
     const RequestTrace partial = traceRequest(lines, "p");
     REQUIRE(partial.lines.size() == 2);
