Gateways reserve the time that answers are observed to need

Cause: on hosts with links of 16 Mbit/s an answer of 3 KB takes 2 to 8 ms beyond the round trip until the caller has it (seen in the kernel's queue: 8.2 to 14.6 ms until acknowledged, round trip 6.2 ms), and relays' merged answers take longer likewise; reserved were constants of 4 and 3 ms. Ruled out: processor time (the same late answers with none charged). Change: TimeReserve estimates the time from decision to acknowledged answer, the time by which answers due at their target miss it, and what relays need beyond target and round trip; each host observes its own.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -55,7 +55,10 @@
         const bool closing = this->closeAfterAnswer || !owner || owner->keepAliveDisabled;
         const bool keepAlive = exchange.message.head.getKeepAlive() && !closing;
         const bool withBody = exchange.message.head.getMethod() != "HEAD";
+        const Millis respondedAt = SteadyClock::now();
         this->send(status, fields, body, contentType, keepAlive, withBody);
+        if (exchange.deliveryHandler)
+            this->observeDelivery(respondedAt, respondedAt, std::move(exchange.deliveryHandler));
         this->currentExchange.reset();
         if (!keepAlive) {
             this->closeWhenSent();
@@ -157,6 +160,26 @@
         this->stream->write(text);
     }
 
+    // Polls until the kernel has no unacknowledged bytes, then reports how long that took.
+    // pendingAt: when there were still some.
+    void observeDelivery(Millis respondedAt, Millis pendingAt, std::function<void(Millis)> handler)
+    {
+        static constexpr Millis pollPeriod = Millis(1);
+        static constexpr Millis maxDelivery = Millis(60);
+        const Millis now = SteadyClock::now();
+        if (!this->stream->isOpen() || now - respondedAt > maxDelivery)
+            return;
+        if (this->stream->pendingBytes() == 0 && this->stream->unacknowledgedBytes() == 0) {
+            // The last acknowledgement came at some time since the previous poll.
+            handler((pendingAt + now) / 2 - respondedAt - this->roundTrip);
+            return;
+        }
+        this->loop.schedule(now + pollPeriod, [self = this->shared_from_this(), respondedAt, now,
+                                               handler = std::move(handler)]() mutable {
+            self->observeDelivery(respondedAt, now, std::move(handler));
+        });
+    }
+
     // Waits until the answer is written, ends the sending side and lingers before it closes.
     void closeWhenSent()
     {
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -52,6 +52,14 @@
         this->disconnectHandler = std::move(handler);
     }
 
+    // Sets a function that is called with the time from respond until the caller has acknowledged
+    // the answer, less one round trip: the time that the answer waited and was transmitted. It is
+    // not called if that takes too long or the connection is closed. To be set before respond.
+    void setDeliveryHandler(std::function<void(Millis)> handler)
+    {
+        this->deliveryHandler = std::move(handler);
+    }
+
 private:
     friend class HttpServerConnection;
 
@@ -59,6 +67,7 @@
     Millis estimatedNetworkTime;
     std::weak_ptr<HttpServerConnection> connection;
     std::function<void()> disconnectHandler;
+    std::function<void(Millis)> deliveryHandler;
     bool answered = false;
 };
 
--- a/src/connection/tcpstream.cpp
+++ b/src/connection/tcpstream.cpp
@@ -2,9 +2,12 @@
 
 #include "quetzal/steadyclock.h"
 
+#include <algorithm>
 #include <array>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketDefs.h>
@@ -185,6 +188,14 @@
     return Millis(info.tcpi_rtt / microsPerMilli);
 }
 
+std::size_t TcpStream::unacknowledgedBytes() const
+{
+    int bytes = 0;
+    if (!this->open || ::ioctl(this->socket.impl()->sockfd(), SIOCOUTQ, &bytes) != 0)
+        return 0;
+    return static_cast<std::size_t>(std::max(0, bytes));
+}
+
 void TcpStream::shutdownWrite()
 {
     if (!this->open)
--- a/src/connection/tcpstream.h
+++ b/src/connection/tcpstream.h
@@ -59,6 +59,10 @@
     // Returns the kernel's estimate of the round trip to the peer; zero if there is none.
     Millis roundTrip() const;
 
+    // Returns the number of bytes passed to the kernel that the peer has not acknowledged; zero if
+    // it is unknown.
+    std::size_t unacknowledgedBytes() const;
+
     // Returns the number of buffered bytes that have not been passed to the kernel.
     std::size_t pendingBytes() const { return this->buffer.size(); }
 
--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -17,12 +17,16 @@
 static constexpr int statusBadGateway = 502;
 static constexpr int statusUnavailable = 503;
 static constexpr int statusGatewayTimeout = 504;
-// Time allowed for reading a request and writing its answer on this host.
-static constexpr Millis localProcessingTime = Millis(4);
+// Time reserved for sending an answer after its target, and for its delivery, until observed.
+static constexpr Millis initialTargetReserve = Millis(2);
+static constexpr Millis initialDeliveryReserve = Millis(2);
+// Longest times reserved. An answer that is later did not wait for its target but for searchers.
+static constexpr Millis maxTargetReserve = Millis(15);
+static constexpr Millis maxDeliveryReserve = Millis(30);
+// Minimum time between two observed deliveries, as each is polled for.
+static constexpr Millis deliveryObservationPeriod = Millis(100);
 // Time beyond the target for which a relay's answer that is in transit is awaited.
 static constexpr Millis relayAnswerGrace = Millis(2);
-// Processing time of a relayed request and its answer on both hosts, without the network.
-static constexpr Millis relayProcessingTime = Millis(3);
 // Time beyond the target after which a relay that has not answered is treated as failed.
 static constexpr Millis relayOverdueDelay = Millis(60);
 // Minimum time left before the deadline for gathering missing parts again.
@@ -38,6 +42,8 @@
     , scatterExecutor(scatterExecutor)
     , partRelay(partRelay)
     , zone(std::move(zone))
+    , targetReserve(initialTargetReserve, maxTargetReserve)
+    , deliveryReserve(initialDeliveryReserve, maxDeliveryReserve)
 {}
 
 void Gateway::onRequest(const std::shared_ptr<HttpExchange> &exchange)
@@ -70,7 +76,7 @@
     entry.tables = this->view.tables();
     entry.route = &route;
     entry.arrivedAt = now;
-    const Millis transit = exchange->networkTime() + localProcessingTime;
+    const Millis transit = exchange->networkTime() + this->answerReserve();
     entry.target = now + route.targetLatency - transit;
     entry.deadline = now + std::min(timeout - transit, route.deadline);
     const auto request = std::make_shared<OutboundRequest>();
@@ -198,7 +204,7 @@
     query.forwardedFields = entry.request->forwardedFields;
     query.body = entry.request->body;
     // The relay gets less time, so that its answer arrives here by the target time.
-    const Millis roundTrip = this->partRelay.roundTripTo(share.host) + relayProcessingTime;
+    const Millis roundTrip = this->partRelay.answerTime(share.host);
     query.targetMs = (entry.target - now - roundTrip).count();
     query.deadlineMs = (entry.deadline - now - roundTrip).count();
     query.maxMissing = static_cast<std::uint16_t>(entry.seals.size() - this->requiredParts(entry));
@@ -414,6 +420,7 @@
 void Gateway::respondMerged(std::uint64_t number)
 {
     RunningRequest &entry = this->running.at(number);
+    const Millis decidedAt = SteadyClock::now();
     std::vector<std::string_view> seals;
     std::set<std::string_view> distinct;
     for (const std::string &seal : entry.seals) {
@@ -433,13 +440,33 @@
         this->metrics.add(Counter::Incomplete);
     this->metrics.add(Timing::Query, SteadyClock::now() - entry.arrivedAt);
     const std::vector<std::string_view> records(entry.records.begin(), entry.records.end());
-    entry.exchange->respond(statusOk, this->codec.mergedReplyFields(seals, missing),
-                            mergeRecords(records, entry.route->resultSize),
+    const std::string body = mergeRecords(records, entry.route->resultSize);
+    this->observeAnswer(entry, decidedAt);
+    entry.exchange->respond(statusOk, this->codec.mergedReplyFields(seals, missing), body,
                             "application/octet-stream");
     this->logEnd(entry, statusOk, seals.size());
     this->running.erase(number);
 }
 
+Millis Gateway::answerReserve() const
+{
+    return this->targetReserve.value() + this->deliveryReserve.value();
+}
+
+void Gateway::observeAnswer(RunningRequest &entry, Millis decidedAt)
+{
+    const Millis afterTarget = decidedAt - entry.target;
+    if (afterTarget >= Millis() && afterTarget <= maxTargetReserve)
+        this->targetReserve.observe(afterTarget);
+    if (decidedAt - this->deliveryObservedAt < deliveryObservationPeriod)
+        return;
+    this->deliveryObservedAt = decidedAt;
+    const Millis merging = SteadyClock::now() - decidedAt;
+    entry.exchange->setDeliveryHandler([this, merging](Millis delivery) {
+        this->deliveryReserve.observe(merging + delivery);
+    });
+}
+
 static std::string failureBody(const std::error_code &code, Verdict verdict)
 {
     return "{\"error\":\"" + code.message() + "\",\"verdict\":\"" + std::string(nameOf(verdict))
--- a/src/request/gateway.h
+++ b/src/request/gateway.h
@@ -5,6 +5,7 @@
 #include "connection/httpserver.h"
 #include "request/partrelay.h"
 #include "request/scatterexecutor.h"
+#include "request/timereserve.h"
 #include "request/trafficsplit.h"
 
 #include <memory>
@@ -114,6 +115,11 @@
     void respondMerged(std::uint64_t number);
     void respondFailure(std::uint64_t number);
     void refuse(HttpExchange &exchange, int status, Fault fault, const CallerFields &fields);
+    // Returns the time to reserve before a request's target for sending its answer.
+    Millis answerReserve() const;
+    // Learns how late an answer is sent that was due at its target, and makes the caller's
+    // connection report how long the delivery takes.
+    void observeAnswer(RunningRequest &entry, Millis decidedAt);
     void logEnd(const RunningRequest &entry, int status, std::size_t parts) const;
 
     EventLoop &loop;
@@ -127,6 +133,12 @@
     // By request number.
     std::unordered_map<std::uint64_t, RunningRequest> running;
     TrafficSplit trafficSplit;
+    // Time by which answers that are due at their target are sent after it.
+    TimeReserve targetReserve;
+    // Time for merging an answer and for its delivery, the network round trip excluded.
+    TimeReserve deliveryReserve;
+    // When a delivery was observed last.
+    Millis deliveryObservedAt;
 };
 
 } // namespace quetzal
--- a/src/request/partrelay.cpp
+++ b/src/request/partrelay.cpp
@@ -20,6 +20,9 @@
 // trips if that is longer.
 static constexpr Millis minAcknowledgeTimeout = Millis(40);
 static constexpr double acknowledgeRoundTrips = 3;
+// Time reserved for a relay's work until it was observed, and the longest time reserved for it.
+static constexpr Millis initialProcessingReserve = Millis(3);
+static constexpr Millis maxProcessingReserve = Millis(15);
 
 PartRelay::PartRelay(EventLoop &loop, const ServingView &view, ScatterExecutor &scatterExecutor,
                      RelayPeer self, std::uint64_t seed)
@@ -28,6 +31,7 @@
     , scatterExecutor(scatterExecutor)
     , self(std::move(self))
     , planner(seed)
+    , processingReserve(initialProcessingReserve, maxProcessingReserve)
 {}
 
 RouteLatency &PartRelay::routeLatency(const std::string &route)
@@ -143,6 +147,8 @@
     PendingQuery &entry = this->pending[id];
     entry.host = host;
     entry.sentAt = SteadyClock::now();
+    entry.target = Millis(query.targetMs);
+    entry.maxMissing = query.maxMissing;
     entry.done = std::move(done);
     entry.due = due;
     entry.timer = this->loop.schedule(entry.sentAt + this->acknowledgeTimeout(host),
@@ -197,11 +203,23 @@
     if (node.empty())
         return;
     this->loop.cancel(node.mapped().timer);
+    // An answer that the request did not wait for took at least this long. An unreachable relay
+    // says nothing about the time that relays need.
+    if (this->unacknowledgedFor(node.mapped().host) <= this->roundTrip(node.mapped().host))
+        this->observeProcessing(node.mapped(), SteadyClock::now());
     this->planner.onNoAnswer(node.mapped().host);
     this->send(node.mapped().host,
                encodeRelayMessage(RelayMessageKind::Cancel, RelayCancel{ id.value }));
 }
 
+void PartRelay::observeProcessing(const PendingQuery &query, Millis now)
+{
+    const Millis sinceTarget = now - query.sentAt - query.target - this->roundTrip(query.host);
+    // Before its target, a relay answers for other reasons.
+    if (query.target > Millis() && sinceTarget > Millis())
+        this->processingReserve.observe(sinceTarget);
+}
+
 void PartRelay::onPeerLost(HostId host)
 {
     this->planner.onOverdue(host, SteadyClock::now());
@@ -326,7 +344,12 @@
     }
     const auto node = this->pending.extract(found);
     this->loop.cancel(node.mapped().timer);
-    this->planner.onAnswer(from, SteadyClock::now() - node.mapped().sentAt);
+    const Millis now = SteadyClock::now();
+    this->planner.onAnswer(from, now - node.mapped().sentAt);
+    const auto missing = static_cast<std::size_t>(
+            std::count(answer.seals.begin(), answer.seals.end(), std::string()));
+    if (missing > 0 && missing <= node.mapped().maxMissing)
+        this->observeProcessing(node.mapped(), now);
     RelayResult result;
     result.answer = std::move(answer);
     node.mapped().done(std::move(result));
--- a/src/request/partrelay.h
+++ b/src/request/partrelay.h
@@ -4,6 +4,7 @@
 #include "connection/relaymessages.h"
 #include "request/relayplanner.h"
 #include "request/scatterexecutor.h"
+#include "request/timereserve.h"
 
 #include <functional>
 #include <map>
@@ -61,8 +62,13 @@
         this->unacknowledgedFor = std::move(unacknowledged);
     }
 
-    // Returns the measured round-trip time to a host.
-    Millis roundTripTo(HostId host) const { return this->roundTrip(host); }
+    // Returns the time to allow from a relay's target until its answer is here, with the time that
+    // the request takes to reach it: the network round trip and what relays have been observed to
+    // need in addition.
+    Millis answerTime(HostId host) const
+    {
+        return this->roundTrip(host) + this->processingReserve.value();
+    }
 
     // Sets the other hosts that are currently alive.
     void setPeers(std::vector<RelayPeer> peers) { this->planner.setPeers(std::move(peers)); }
@@ -99,7 +105,11 @@
     {
         HostId host;
         Millis sentAt;
+        // The target that the relay was given, relative to sentAt.
+        Millis target;
         std::function<void(RelayResult &&)> done;
+        // Number of parts that may be missing from the answer to the whole request.
+        std::size_t maxMissing = 0;
         // When the relay is treated as failed.
         Millis due;
         TimerId timer = 0;
@@ -116,6 +126,9 @@
                                             const std::string &zone, Millis now, GatherPlan &plan);
     // Assigns local parts to relays in this host's zone if it has too many for its capacity.
     void offloadWithinZone(const Route &route, GatherPlan &plan, Millis now);
+    // Learns from an answer that a relay has sent at its target because parts were missing, or from
+    // one that is still missing, how much time relays need beyond the network round trip.
+    void observeProcessing(const PendingQuery &query, Millis now);
     // Returns the time within which a reachable host acknowledges a message.
     Millis acknowledgeTimeout(HostId host) const;
     // Fails the request if the relay does not acknowledge messages or the answer is overdue.
@@ -132,6 +145,8 @@
     ScatterExecutor &scatterExecutor;
     RelayPeer self;
     RelayPlanner planner;
+    // Time that relays need beyond their target and the network round trip.
+    TimeReserve processingReserve;
     std::function<void(HostId, std::string)> send;
     std::function<Millis(HostId)> roundTrip;
     std::function<Millis(HostId)> unacknowledgedFor;
--- a/tests/iotest.cpp
+++ b/tests/iotest.cpp
@@ -212,6 +212,54 @@
     CHECK(networkTimes[0] == networkTimes[1] * 2);
 }
 
+TEST_CASE("an exchange reports its delivery once the caller has acknowledged the answer")
+{
+    EventLoop loop;
+    static constexpr std::size_t answerBytes = 4'000'000;
+    const Millis started = SteadyClock::now();
+    std::vector<Millis> deliveries;
+    const auto server = HttpServer::listen(
+            loop, Poco::Net::SocketAddress("127.0.0.1", 0), HttpServerOptions(),
+            [&](const std::shared_ptr<HttpExchange> &exchange) {
+                exchange->setDeliveryHandler([&](Millis delivery) {
+                    deliveries.push_back(delivery);
+                    loop.stop();
+                });
+                exchange->respond(200, {}, std::string(answerBytes, 'a'));
+            });
+    // The caller does not read for a while, so that the answer stays in the kernel's buffers.
+    Poco::Net::StreamSocket caller(server->address());
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    caller.sendBytes(request.data(), static_cast<int>(request.size()));
+    static constexpr Millis readingDelay = Millis(20);
+    loop.schedule(started + readingDelay, [&] {
+        caller.setBlocking(false);
+        loop.schedule(SteadyClock::now(), [&] { CHECK(deliveries.empty()); });
+    });
+    std::string received;
+    const std::function<void()> read = [&] {
+        std::array<char, 65'536> chunk;
+        try {
+            while (true) {
+                const int count = caller.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
+                if (count <= 0)
+                    break;
+                received.append(chunk.data(), static_cast<std::size_t>(count));
+            }
+        } catch (const Poco::Exception &) {
+            // Nothing to read at the moment.
+        }
+        if (deliveries.empty())
+            loop.schedule(SteadyClock::now() + Millis(0.1), read);
+    };
+    loop.schedule(started + readingDelay + Millis(1), read);
+    loop.schedule(started + Millis(5000), [&] { loop.stop(); });
+    loop.run();
+    REQUIRE(deliveries.size() == 1);
+    CHECK(deliveries[0] > Millis(10));
+    CHECK(received.size() > answerBytes);
+}
+
 // Closing the socket while the caller is still sending would reset the connection, and the caller
 // would lose the answer.
 TEST_CASE("an error answer reaches a caller that is still sending")
