--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -165,9 +165,9 @@
     void observeDelivery(Millis respondedAt, Millis pendingAt, std::function<void(Millis)> handler)
     {
         static constexpr Millis pollPeriod = Millis(1);
-        static constexpr Millis maxDelivery = Millis(60);
         const Millis now = SteadyClock::now();
-        if (!this->stream->isOpen() || now - respondedAt > maxDelivery)
+        const auto owner = this->server.lock();
+        if (!owner || !this->stream->isOpen() || now - respondedAt > owner->options.maxDeliveryTime)
             return;
         if (this->stream->pendingBytes() == 0 && this->stream->unacknowledgedBytes() == 0) {
             // The last acknowledgement came at some time since the previous poll.
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -83,6 +83,8 @@
     // Time that a connection may stay open without a request.
     Millis idleTimeout = Millis(60'000);
     std::size_t maxConnections = 4096;
+    // Time after which the delivery of an answer is no longer observed.
+    Millis maxDeliveryTime = Millis(60);
     // Delay between accepting a connection and reading from it. Lets test servers simulate
     // connections that are costly to set up.
     Millis acceptDelay;
