Requests that lack searchers for their parts are refused on arrival

Change: isServable decides on arrival from the registered searchers; 503, not run, Retry-After of one second, as such a pool is empty for seconds. A failure without another cause has code below-coverage. Tried before it and left: hosts lend the rest of their retry budget to the hosts that gather for them.

--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -4,6 +4,7 @@
 #include "quetzal/fault.h"
 #include "quetzal/steadyclock.h"
 #include "request/recordmerge.h"
+#include "request/servability.h"
 
 #include <algorithm>
 #include <cmath>
@@ -32,6 +33,8 @@
 // Minimum time left before the deadline for gathering missing parts again.
 static constexpr Millis minRetryTime = Millis(20);
 static constexpr const char *retryAfterSeconds = "0.1";
+// A pool without searchers gets new ones after seconds rather than milliseconds.
+static constexpr const char *emptyPoolRetryAfterSeconds = "1";
 
 Gateway::Gateway(EventLoop &loop, Metrics &metrics, const HttpCodec &codec, const ServingView &view,
                  ScatterExecutor &scatterExecutor, PartRelay &partRelay, std::string zone)
@@ -63,9 +66,22 @@
         this->refuse(*exchange, statusNotFound, Fault::NoRoute, fields);
         return;
     }
+    if (!route->shardPools.empty() && !this->isMergedServable(*route, now)) {
+        this->refuse(*exchange, statusUnavailable, Fault::PoolEmpty, fields);
+        return;
+    }
     this->begin(exchange, *route, fields, now);
 }
 
+bool Gateway::isMergedServable(const Route &route, Millis now) const
+{
+    std::vector<std::shared_ptr<ShardPool>> pools;
+    pools.reserve(route.shardPools.size());
+    for (const std::string &name : route.shardPools)
+        pools.push_back(this->scatterExecutor.pool(name));
+    return isServable(pools, pools.size() - requiredParts(route), now);
+}
+
 void Gateway::begin(const std::shared_ptr<HttpExchange> &exchange, const Route &route,
                     const CallerFields &fields, Millis now)
 {
@@ -133,7 +149,7 @@
     ScatterPlan plan = this->planFor(entry);
     plan.merged = true;
     plan.isBatch = !gatherPlan.relayShares.empty();
-    plan.maxMissing = entry.seals.size() - this->requiredParts(entry);
+    plan.maxMissing = entry.seals.size() - this->requiredParts(*entry.route);
     entry.retriedMissing = gatherPlan.relayShares.empty();
     // Set before the batches start: one that ends immediately may end the request and its entry.
     if (plan.isBatch)
@@ -207,7 +223,8 @@
     const Millis roundTrip = this->partRelay.answerTime(share.host);
     query.targetMs = (entry.target - now - roundTrip).count();
     query.deadlineMs = (entry.deadline - now - roundTrip).count();
-    query.maxMissing = static_cast<std::uint16_t>(entry.seals.size() - this->requiredParts(entry));
+    query.maxMissing
+            = static_cast<std::uint16_t>(entry.seals.size() - this->requiredParts(*entry.route));
     query.resultSize = entry.route->resultSize;
     query.maxAttempts = std::max(1U, entry.route->maxAttempts);
     for (const std::uint32_t shard : share.shards) {
@@ -280,7 +297,7 @@
         ScatterPlan plan = this->planFor(entry);
         plan.merged = true;
         plan.isBatch = true;
-        plan.maxMissing = entry.seals.size() - this->requiredParts(entry);
+        plan.maxMissing = entry.seals.size() - this->requiredParts(*entry.route);
         plan.isResend = result.mayHaveRun;
         this->gatherLocally(number, shards, plan);
         return;
@@ -300,11 +317,11 @@
     this->finishIfDue(number);
 }
 
-std::size_t Gateway::requiredParts(const RunningRequest &entry) const
+std::size_t Gateway::requiredParts(const Route &route)
 {
     // Keeps a product such as 0.55 * 100 = 55.00000000000001 from rounding up to the next integer.
     static constexpr double tolerance = 1e-9;
-    const double exact = entry.route->minCoverage * static_cast<double>(entry.seals.size());
+    const double exact = route.minCoverage * static_cast<double>(route.shardPools.size());
     return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(exact - tolerance)));
 }
 
@@ -314,7 +331,7 @@
     const bool anyOpen = std::any_of(entry.batches.begin(), entry.batches.end(),
                                      [](const Batch &batch) { return batch.open; });
     if (entry.receivedParts == entry.seals.size()
-        || (!anyOpen && entry.receivedParts >= this->requiredParts(entry))) {
+        || (!anyOpen && entry.receivedParts >= this->requiredParts(*entry.route))) {
         this->respondMerged(number);
         return;
     }
@@ -325,14 +342,14 @@
         for (const std::uint32_t shard : batch.shards)
             pending += batch.open && entry.seals[shard].empty() ? 1 : 0;
     }
-    const bool outOfReach = entry.receivedParts + pending < this->requiredParts(entry);
+    const bool outOfReach = entry.receivedParts + pending < this->requiredParts(*entry.route);
     if (outOfReach && (entry.retriedMissing || SteadyClock::now() < entry.target)) {
         this->respondFailure(number);
         return;
     }
     if (anyOpen) {
         if (entry.retriedMissing && SteadyClock::now() >= entry.target
-            && entry.receivedParts >= this->requiredParts(entry))
+            && entry.receivedParts >= this->requiredParts(*entry.route))
             this->respondMerged(number);
         return;
     }
@@ -354,7 +371,7 @@
     ScatterPlan plan = this->planFor(entry);
     plan.merged = true;
     plan.isResend = true;
-    plan.minCoverage = static_cast<double>(this->requiredParts(entry) - entry.receivedParts)
+    plan.minCoverage = static_cast<double>(this->requiredParts(*entry.route) - entry.receivedParts)
                        / static_cast<double>(missing.size());
     this->gatherLocally(number, std::move(missing), plan);
 }
@@ -365,7 +382,7 @@
     if (found == this->running.end())
         return;
     found->second.timer = 0;
-    if (found->second.receivedParts >= this->requiredParts(found->second))
+    if (found->second.receivedParts >= this->requiredParts(*found->second.route))
         this->respondMerged(number);
 }
 
@@ -478,8 +495,9 @@
     RunningRequest &entry = this->running.at(number);
     this->abandonBatches(entry);
     this->metrics.add(Counter::Failed);
-    const std::error_code code
-            = entry.lastFailure ? entry.lastFailure : make_error_code(Fault::BelowCoverage);
+    if (!entry.lastFailure)
+        entry.lastFailure = Fault::BelowCoverage;
+    const std::error_code code = entry.lastFailure;
     int status = statusUnavailable;
     std::vector<HttpField> fields = { { "Retry-After", retryAfterSeconds } };
     if (entry.mayHaveRun) {
@@ -499,7 +517,8 @@
     this->metrics.add(Counter::Refused);
     std::vector<HttpField> extra;
     if (status == statusUnavailable)
-        extra.push_back({ "Retry-After", retryAfterSeconds });
+        extra.push_back({ "Retry-After", fault == Fault::PoolEmpty ? emptyPoolRetryAfterSeconds
+                                                                   : retryAfterSeconds });
     exchange.respond(status, extra, failureBody(fault, Verdict::NotRun));
     logEvent(LogEvent::RequestRefused,
              "id=" + fields.requestId + " status=" + std::to_string(status)
--- a/src/request/gateway.h
+++ b/src/request/gateway.h
@@ -81,6 +81,8 @@
 
     void begin(const std::shared_ptr<HttpExchange> &exchange, const Route &route,
                const CallerFields &fields, Millis now);
+    // Returns true if enough of the route's pools have searchers for a merged answer.
+    bool isMergedServable(const Route &route, Millis now) const;
     // Passes on the reply of one searcher.
     void beginSingle(std::uint64_t number);
     // Merges one part of each of the route's pools.
@@ -105,7 +107,7 @@
     // enough.
     void retryMissing(std::uint64_t number);
     // Returns the number of parts that the route's minimum coverage requires, at least one.
-    std::size_t requiredParts(const RunningRequest &entry) const;
+    static std::size_t requiredParts(const Route &route);
     // The target time has passed: responds if there are enough parts.
     void onTarget(std::uint64_t number);
     void onCallerGone(std::uint64_t number);
--- a/tests/gatewayprocesstest.cpp
+++ b/tests/gatewayprocesstest.cpp
@@ -225,6 +225,23 @@
     CHECK(none->head.getStatus() == 404);
 }
 
+TEST_CASE("a request that lacks searchers for more parts than may be missing is refused at once")
+{
+    GatewayFixture fixture(Millis(5));
+    fixture.serveView({ "a", "b", "without-searchers" });
+    const auto refused = fixture.get("/all/x");
+    REQUIRE(refused);
+    CHECK(refused->head.getStatus() == 503);
+    CHECK(refused->head.get("Retry-After", "") == "1");
+    CHECK(refused->body.find("not-run") != std::string::npos);
+    CHECK(fixture.first.requestCount == 0);
+    CHECK(fixture.second.requestCount == 0);
+    fixture.serveView({ "a", "b" });
+    const auto served = fixture.get("/all/y");
+    REQUIRE(served);
+    CHECK(served->head.getStatus() == 200);
+}
+
 TEST_CASE("a request uses the pools of the tables that were current when it started")
 {
     GatewayFixture fixture(Millis(300));
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -5,6 +5,7 @@
 #include "quetzal/fault.h"
 #include "request/recordmerge.h"
 #include "request/scatter.h"
+#include "request/servability.h"
 #include "request/trafficsplit.h"
 #include "tests/registrations.h"
 #include "version/codec.h"
@@ -388,6 +389,22 @@
     REQUIRE(withoutBudget.answer);
 }
 
+TEST_CASE("a merged request is servable while at most the allowed number of pools lack searchers")
+{
+    ScatterFixture fixture(4);
+    CHECK(isServable(fixture.pools, 0, Millis(0)));
+    // All searchers of a pool leave; they are a last resort until the given time.
+    for (const auto &searcher : fixture.pools[2]->searchers()) {
+        SearcherRegistration leaving = searcher->registration();
+        leaving.state = SearcherState::Gone;
+        leaving.revision += 1;
+        searcher->update(leaving, Millis(50));
+    }
+    CHECK(isServable(fixture.pools, 0, Millis(49)));
+    CHECK_FALSE(isServable(fixture.pools, 0, Millis(50)));
+    CHECK(isServable(fixture.pools, 1, Millis(50)));
+}
+
 TEST_CASE("the searcher in the local zone is preferred until it refuses repeatedly")
 {
     ShardPool pool("p", RetryBudgetOptions(), 1);
