Bytes without end of a searcher end its connection and keep nobody waiting

Cause: two faults, each seen in a test first. A peer that sends faster than it is read kept the loop inside one read event: no timer ran while 30 MB were read. Interim responses and trailer fields were accepted without end, until the attempt's deadline (up to 10 s), and a chunk line could take 256 bytes for each byte of body. Change: a stream reads at most four times an event; the reader limits interim responses to the size of a head and the framing of a chunked body to a head plus eight times the body.

--- a/src/connection/httpreader.cpp
+++ b/src/connection/httpreader.cpp
@@ -17,6 +17,8 @@
 static constexpr const char *contentLengthField = "Content-Length";
 static constexpr const char *transferEncodingField = "Transfer-Encoding";
 static constexpr std::size_t maxChunkLineBytes = 256;
+// Number of bytes that a byte of a chunked body may take for the lines of its chunks.
+static constexpr std::size_t framingBytesPerBodyByte = 8;
 
 // True for a "tchar" of RFC 9110.
 static bool isTokenChar(char c)
@@ -158,6 +160,12 @@
     good = good && this->parseFields(head.substr(std::min(head.size(), lineSize + 2)));
     this->buffer.erase(0, end + headEnd.size());
     good = good && this->chooseFraming();
+    if constexpr (std::is_same_v<Head, Poco::Net::HTTPResponse>) {
+        const bool isInterim = good && this->partial->head.getStatus() < 200;
+        this->interimBytes = isInterim ? this->interimBytes + end + headEnd.size() : 0;
+        if (this->interimBytes > this->limits.maxHeadBytes)
+            good = this->fail(headTooLarge);
+    }
     if (!good)
         this->partial.reset();
     return good;
@@ -188,6 +196,7 @@
     this->framing = Framing::Length;
     this->bodyLength = 0;
     this->lastChunkSeen = false;
+    this->framingBytes = 0;
     const bool bodyless = this->noBody || isWithoutBody(head);
     this->noBody = false;
     if (bodyless)
@@ -248,6 +257,15 @@
     return true;
 }
 
+template <typename Head>
+bool HttpReader<Head>::countFraming(std::size_t bytes)
+{
+    this->framingBytes += bytes;
+    const std::size_t limit
+            = this->limits.maxHeadBytes + this->partial->body.size() * framingBytesPerBodyByte;
+    return this->framingBytes <= limit ? true : this->fail(badRequest);
+}
+
 template <typename Head>
 bool HttpReader<Head>::readChunks()
 {
@@ -260,6 +278,8 @@
             this->buffer.erase(0, end + lineEnd.size());
             if (end == 0)
                 return true;
+            if (!this->countFraming(end + lineEnd.size()))
+                return false;
             continue;
         }
         std::uint64_t size = 0;
@@ -283,6 +303,8 @@
             return this->fail(badRequest);
         this->partial->body.append(this->buffer, dataOffset, size);
         this->buffer.erase(0, dataOffset + size + lineEnd.size());
+        if (!this->countFraming(dataOffset + lineEnd.size()))
+            return false;
     }
 }
 
--- a/src/connection/httpreader.h
+++ b/src/connection/httpreader.h
@@ -33,7 +33,8 @@
 // A head that two hops could interpret differently is rejected, as it would allow request
 // smuggling: both Content-Length and Transfer-Encoding, more than one of either, a folded line, a
 // space before a colon, or a control character. A response without a length ends when its
-// connection is closed.
+// connection is closed. Whatever a peer may repeat without end is limited: head, body, lines of
+// chunks, trailer fields and interim responses.
 template <typename Head>
 class HttpReader
 {
@@ -61,6 +62,12 @@
     // Returns the HTTP status of the error; zero if there was none.
     int errorStatus() const { return this->error; }
 
+    // Returns the number of bytes that are held for messages which are not complete.
+    std::size_t bufferedBytes() const
+    {
+        return this->buffer.size() + (this->partial ? this->partial->body.size() : 0);
+    }
+
     // True if part of a message has been parsed or bytes are buffered.
     bool hasPartial() const { return this->partial || !this->buffer.empty(); }
 
@@ -76,6 +83,8 @@
     bool readLength();
     bool readBody();
     bool readChunks();
+    // Counts bytes that frame a body. Sets an error and returns false if there are too many.
+    bool countFraming(std::size_t bytes);
     // Sets the error and returns false.
     bool fail(int status);
     // Returns the message and resets the parser for the next one.
@@ -87,6 +96,10 @@
     Framing framing = Framing::Length;
     std::size_t bodyLength = 0;
     bool lastChunkSeen = false;
+    // Bytes of the current message's chunk lines and trailer fields.
+    std::size_t framingBytes = 0;
+    // Bytes of the interim responses since the last final one.
+    std::size_t interimBytes = 0;
     bool noBody = false;
     int error = 0;
 };
--- a/src/connection/tcpstream.cpp
+++ b/src/connection/tcpstream.cpp
@@ -15,6 +15,7 @@
 namespace quetzal {
 
 static constexpr std::size_t readBufferBytes = 65'536;
+static constexpr int maxReadsPerEvent = 4;
 // Time after which the kernel closes a connection whose sent bytes are unacknowledged.
 static constexpr int tcpUserTimeoutMs = 3000;
 
@@ -137,7 +138,9 @@
     const std::shared_ptr<TcpStream> self = this->shared_from_this();
     std::array<char, readBufferBytes> chunk;
     try {
-        while (this->open) {
+        // What remains is reported as readable again, after other sockets and timers had their
+        // turn.
+        for (int reads = 0; this->open && reads < maxReadsPerEvent; ++reads) {
             const int count
                     = this->socket.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
             if (count < 0)
--- a/tests/iotest.cpp
+++ b/tests/iotest.cpp
@@ -11,9 +11,11 @@
 #include "request/hitjson.h"
 
 #include <array>
+#include <atomic>
 #include <fstream>
 #include <functional>
 #include <sstream>
+#include <thread>
 
 #include <doctest/doctest.h>
 
@@ -122,6 +124,100 @@
     }
 }
 
+TEST_CASE("a message that never ends is rejected within the size limits, whatever it repeats")
+{
+    using ResponseReader = HttpReader<Poco::Net::HTTPResponse>;
+    const HttpLimits limits = { 1000, 10'000 };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Flood
+    {
+        std::string start;
+        std::string repeated;
+    };
+    const std::vector<Flood> floods = {
+        { "", "x" },
+        { "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n" },
+        { "", "HTTP/1.1 102 Processing\r\n\r\n" },
+        { "", "HTTP/1.1 100 Continue\r\nX: a\r\n\r\n" },
+        { "HTTP/1.1 200 OK\r\n\r\n", "body" },
+        { chunked, "1\r\na\r\n" },
+        { chunked, "1;extension=value\r\na\r\n" },
+        { chunked + "1;", "extension" },
+        { chunked + "0\r\n", "Trailer: value\r\n" },
+        { chunked + "0\r\n", "trailer" },
+    };
+    for (const Flood &flood : floods) {
+        CAPTURE(flood.start + flood.repeated);
+        ResponseReader reader(limits);
+        reader.feed(flood.start);
+        std::size_t received = flood.start.size();
+        while (reader.errorStatus() == 0 && received < 200'000) {
+            reader.feed(flood.repeated);
+            received += flood.repeated.size();
+            while (reader.next()) {}
+        }
+        CHECK(reader.errorStatus() != 0);
+        CHECK(reader.bufferedBytes() <= limits.maxHeadBytes + limits.maxBodyBytes);
+    }
+    // The limits are those of one message: interim responses before each of many are accepted.
+    ResponseReader reader(limits);
+    for (int i = 0; i < 1000; ++i) {
+        reader.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+        REQUIRE(reader.next());
+        REQUIRE(reader.next());
+    }
+    CHECK(reader.errorStatus() == 0);
+}
+
+TEST_CASE("a peer that sends without end does not keep the loop from other work")
+{
+    EventLoop loop;
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    std::atomic<bool> ended = false;
+    // Sends as fast as it is read, for a bounded time.
+    std::thread flood([&] {
+        Poco::Net::StreamSocket peer = listener.acceptConnection();
+        const std::string bytes(1'000'000, 'x');
+        try {
+            while (!ended)
+                peer.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        } catch (const Poco::Exception &) {
+            // The stream was closed.
+            return;
+        }
+    });
+    static constexpr std::size_t enoughBytes = 30'000'000;
+    std::size_t received = 0;
+    std::size_t sinceTimer = 0;
+    std::size_t mostBetweenTimers = 0;
+    const Millis giveUpAt = SteadyClock::now() + Millis(5000);
+    std::shared_ptr<TcpStream> stream;
+    StreamCallbacks callbacks;
+    callbacks.onData = [&](std::string_view data) {
+        received += data.size();
+        sinceTimer += data.size();
+        mostBetweenTimers = std::max(mostBetweenTimers, sinceTimer);
+        // Slower than the sender, so that there is always something to read.
+        std::this_thread::sleep_for(std::chrono::milliseconds(3));
+        if (received >= enoughBytes || SteadyClock::now() > giveUpAt) {
+            stream->close();
+            loop.stop();
+        }
+    };
+    stream = TcpStream::connect(loop, listener.address(), callbacks);
+    std::function<void()> onTimer;
+    onTimer = [&] {
+        sinceTimer = 0;
+        loop.schedule(SteadyClock::now() + Millis(1), onTimer);
+    };
+    onTimer();
+    loop.run();
+    ended = true;
+    flood.join();
+    CHECK(received >= enoughBytes);
+    CHECK(mostBetweenTimers < 2'000'000);
+}
+
 TEST_CASE("a response without a length is complete at the end of its stream, one with a length "
           "only if it is not truncated")
 {
--- a/tests/searcherlinktest.cpp
+++ b/tests/searcherlinktest.cpp
@@ -221,6 +221,27 @@
     CHECK(fixture.searcher->accepted == 2);
 }
 
+TEST_CASE("endless bytes of a searcher end the attempt and its connection, and others go on")
+{
+    std::string interim;
+    std::string trailers = "HTTP/1.1 200 OK\r\nX-Quetzal-Seal: s\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+    for (int i = 0; i < 50'000; ++i) {
+        interim += "HTTP/1.1 102 Processing\r\n\r\n";
+        trailers += "Trailer: value\r\n";
+    }
+    for (const std::string &flood : { std::string(1'000'000, 'x'), interim, trailers }) {
+        LinkFixture fixture({ { flood }, { replyFor("r1") } });
+        fixture.submit(0, "r0");
+        fixture.followUp = [&] { fixture.submit(1, "r1"); };
+        fixture.run(2);
+        CHECK(fixture.ended[0].outcome.code == Fault::ReplyMismatch);
+        CHECK(fixture.ended[0].outcome.verdict == Verdict::MayHaveRun);
+        CHECK(fixture.ended[1].outcome.succeeded());
+        CHECK(fixture.searcher->accepted == 2);
+    }
+}
+
 TEST_CASE("a connection is reused after a reply")
 {
     LinkFixture fixture({ { replyFor("r0") }, { replyFor("r1") } });
