A planned stop answers requests that wait in the accept queue or unread in a socket

Cause: stopAccepting closed the listening socket with connections in its queue, which resets them, and closed idle connections whose next request had arrived but was not read yet. Change: the connections in the queue are accepted before the socket is closed, and an idle connection is read once before it is closed; their requests are answered with Connection: close.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -68,10 +68,14 @@
         this->handleNext();
     }
 
-    // Closes the connection if it is idle, else after the current answer.
+    // Closes the connection if it is idle and no request has arrived, else after the answer.
     void closeGracefully()
     {
+        const std::shared_ptr<HttpServerConnection> self = this->shared_from_this();
         this->closeAfterAnswer = true;
+        // Closing a socket with unread bytes would reset it and lose the request.
+        if (this->stream != nullptr && !this->currentExchange)
+            this->stream->onReadable();
         if (!this->lingering && !this->currentExchange && !this->reader.hasPartial())
             this->drop();
     }
@@ -279,26 +283,32 @@
 }
 
 void HttpServer::onReadable()
+{
+    this->acceptNext();
+}
+
+bool HttpServer::acceptNext()
 {
     try {
         const Poco::Net::StreamSocket accepted = this->socket.acceptConnection();
         const bool full = this->connections.size() >= this->options.maxConnections;
         if (full || (this->acceptFilter && !this->acceptFilter()))
-            return;
+            return true;
         const auto connection = std::make_shared<HttpServerConnection>(*this, this->loop);
         this->connections.insert(connection);
         if (this->options.acceptDelay <= Millis(0)) {
             connection->start(*this, accepted);
-            return;
+            return true;
         }
         this->loop.schedule(SteadyClock::now() + this->options.acceptDelay,
                             [self = this->shared_from_this(), connection, accepted] {
                                 if (self->connections.contains(connection))
                                     connection->start(*self, accepted);
                             });
+        return true;
     } catch (const Poco::Exception &) {
-        // The caller disconnected before it was accepted.
-        return;
+        // No connection is waiting, or the caller disconnected before it was accepted.
+        return false;
     }
 }
 
@@ -307,6 +317,8 @@
     if (!this->accepting)
         return;
     this->accepting = false;
+    // Closing the socket would reset the connections in its queue, whose requests may be there.
+    for (int count = 0; count < listenBacklog && this->acceptNext(); ++count) {}
     this->loop.remove(this->socket);
     this->socket.close();
     // Copied because connections that are closed remove themselves from the set.
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -100,8 +100,9 @@
                                               const HttpServerOptions &options,
                                               HttpHandler handler);
 
-    // Stops accepting connections and closes idle ones. Open exchanges continue; their connections
-    // are closed after the answer.
+    // Stops accepting connections, except those that the kernel has accepted already, and closes
+    // idle ones. Requests that have arrived are handled; their connections are closed after the
+    // answer.
     void stopAccepting();
 
     // Continues to accept and serve, but closes each connection after its next answer. Idle
@@ -136,6 +137,8 @@
     friend class HttpServerConnection;
 
     HttpServer(EventLoop &loop, const HttpServerOptions &options, HttpHandler handler);
+    // Accepts a connection. Returns false if none is waiting.
+    bool acceptNext();
 
     EventLoop &loop;
     HttpServerOptions options;
--- a/tests/iotest.cpp
+++ b/tests/iotest.cpp
@@ -218,6 +218,52 @@
     CHECK(mostBetweenTimers < 2'000'000);
 }
 
+TEST_CASE("a stop answers requests that were sent before it, on connections not accepted or read")
+{
+    EventLoop loop;
+    int handled = 0;
+    const auto server = HttpServer::listen(loop, Poco::Net::SocketAddress("127.0.0.1", 0),
+                                           HttpServerOptions(),
+                                           [&](const std::shared_ptr<HttpExchange> &exchange) {
+                                               handled += 1;
+                                               exchange->respond(200, {}, "a");
+                                           });
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const auto sendTo = [&](Poco::Net::StreamSocket &caller) {
+        caller.sendBytes(request.data(), static_cast<int>(request.size()));
+    };
+    Poco::Net::StreamSocket open(server->address());
+    sendTo(open);
+    while (handled < 1)
+        loop.runOnce();
+    // One request on the open connection, two on connections in the accept queue.
+    Poco::Net::StreamSocket first(server->address());
+    Poco::Net::StreamSocket second(server->address());
+    for (Poco::Net::StreamSocket *caller : { &open, &first, &second })
+        sendTo(*caller);
+    server->stopAccepting();
+    for (int i = 0; i < 20 && handled < 4; ++i)
+        loop.runOnce();
+    CHECK(handled == 4);
+    for (Poco::Net::StreamSocket *caller : { &open, &first, &second }) {
+        caller->setReceiveTimeout(Poco::Timespan(2, 0));
+        std::array<char, 4096> chunk;
+        std::string received;
+        try {
+            int count = 0;
+            do {
+                count = caller->receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
+                received.append(chunk.data(), static_cast<std::size_t>(std::max(0, count)));
+            } while (count > 0 && received.find("Connection: close") == std::string::npos);
+        } catch (const Poco::Exception &) {
+            // The connection was reset.
+            received += " reset";
+        }
+        CHECK(received.find("200 OK") != std::string::npos);
+        CHECK(received.find("Connection: close") != std::string::npos);
+    }
+}
+
 TEST_CASE("a response without a length is complete at the end of its stream, one with a length "
           "only if it is not truncated")
 {
