--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -220,9 +220,9 @@
     query.forwardedFields = entry.request->forwardedFields;
     query.body = entry.request->body;
     // The relay gets less time, so that its answer arrives here by the target time.
-    const Millis roundTrip = this->partRelay.answerTime(share.host);
-    query.targetMs = (entry.target - now - roundTrip).count();
-    query.deadlineMs = (entry.deadline - now - roundTrip).count();
+    const Millis answerTime = this->partRelay.answerTime(share.host);
+    query.targetMs = (entry.target - now - answerTime).count();
+    query.deadlineMs = (entry.deadline - now - answerTime).count();
     query.maxMissing
             = static_cast<std::uint16_t>(entry.seals.size() - this->requiredParts(*entry.route));
     query.resultSize = entry.route->resultSize;
