Hosts log and expose how long ago their view was known to be complete

A host whose store lost a long poll logged nothing for up to 26 s: its lines could not tell a store without news from a store that is not heard. The view now records when the store, the files or (later) another host last showed that it contains every change; QZ1108 and QZ1109 report when that is longer ago than limits.change_in_force_ms, the time within which a change is to be in force, and quetzal_view_age_ms gives it at any time. No decision depends on it yet.

--- a/src/process/eventlog.h
+++ b/src/process/eventlog.h
@@ -57,6 +57,10 @@
     RelayGathered,
     // The store's feed went on or off standby.
     StoreReading,
+    // For longer than a change may take to be in force, neither the store nor another host has
+    // shown that the view is complete; or it has been shown again.
+    ViewUnconfirmed,
+    ViewConfirmed,
 };
 
 // Severity of an event.
@@ -71,7 +75,7 @@
 };
 
 // Indexed by LogEvent.
-inline constexpr std::array<LogEventInfo, 40> logEvents = { {
+inline constexpr std::array<LogEventInfo, 42> logEvents = { {
         { 1001, "started", LogLevel::Info },
         { 1002, "ready", LogLevel::Info },
         { 1003, "not-ready", LogLevel::Warning },
@@ -112,6 +116,8 @@
         { 2306, "relay-fall-back", LogLevel::Warning },
         { 2307, "relay-gathered", LogLevel::Info },
         { 1107, "store-reading", LogLevel::Info },
+        { 1108, "view-unconfirmed", LogLevel::Warning },
+        { 1109, "view-confirmed", LogLevel::Info },
 } };
 
 // Sends log lines to a file, or to standard error if the path is empty.
--- a/src/process/filefeed.cpp
+++ b/src/process/filefeed.cpp
@@ -38,8 +38,11 @@
     const auto pools = readTextFile(this->files.pools);
     const auto searchers = readTextFile(this->files.searchers);
     const std::string contents = routes && pools && searchers ? *routes + *pools + *searchers : "";
-    if (contents == this->lastContents && !contents.empty())
+    if (contents == this->lastContents && !contents.empty()) {
+        if (this->healthy)
+            this->view.confirm(SteadyClock::now());
         return;
+    }
     const bool isChanged = contents != this->lastContents || this->healthy;
     this->lastContents = contents;
     if (!contents.empty())
@@ -72,6 +75,7 @@
     newTables.pools = std::move(tables.value.pools);
     this->view.applyTables(std::move(newTables));
     this->view.applyListing(listing.value.searchers, revision, SteadyClock::now());
+    this->view.confirm(SteadyClock::now());
     logEvent(LogEvent::TablesInForce, "revision=" + std::to_string(revision));
 }
 
--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -159,6 +159,8 @@
     text << "quetzal_store_answers " << (this->feed->isHealthy() ? 1 : 0) << "\n";
     text << "quetzal_tables_revision " << this->view.tablesRevision().value << "\n";
     text << "quetzal_directory_revision " << this->view.revision() << "\n";
+    const Millis viewAge = SteadyClock::now() - this->view.confirmedAt();
+    text << "quetzal_view_age_ms " << static_cast<std::int64_t>(viewAge.count()) << "\n";
     text << "quetzal_searchers " << this->view.directory().liveCount() << "\n";
     text << "quetzal_running_requests " << this->gateway.runningRequests() << "\n";
     text << "quetzal_caller_connections " << this->callerServer->connectionCount() << "\n";
--- a/src/process/gatewaysettings.cpp
+++ b/src/process/gatewaysettings.cpp
@@ -5,6 +5,7 @@
 namespace quetzal {
 
 static constexpr double maxDurationMs = 600'000;
+static constexpr double minChangeDeadlineMs = 1000;
 static constexpr double maxRetrySlack = 1e6;
 static constexpr double minCapacity = 1e-3;
 static constexpr double maxCapacity = 1e3;
@@ -110,9 +111,12 @@
     settings.retryWindow = Millis(reader.number(retries, "window_ms", "retries", 1, maxDurationMs,
                                                 false, settings.retryWindow.count()));
     const YAML::Node limits = section(reader, root, "limits", false);
-    reader.allowOnly(limits, "limits", { "grace_ms" });
+    reader.allowOnly(limits, "limits", { "grace_ms", "change_in_force_ms" });
     settings.grace = Millis(reader.number(limits, "grace_ms", "limits", 0, maxDurationMs, false,
                                           settings.grace.count()));
+    settings.changeDeadline
+            = Millis(reader.number(limits, "change_in_force_ms", "limits", minChangeDeadlineMs,
+                                   maxDurationMs, false, settings.changeDeadline.count()));
     result.errors = reader.errors();
     return result;
 }
--- a/src/process/gatewaysettings.h
+++ b/src/process/gatewaysettings.h
@@ -38,6 +38,8 @@
     Millis retryWindow = Millis(10'000);
     // Time from the start of a shutdown until the process must have exited.
     Millis grace = Millis(6000);
+    // Time within which a change that the store has accepted is to be in force on every host.
+    Millis changeDeadline = Millis(3000);
     // Network round-trip time to another zone.
     Millis zoneRoundTrip = Millis(8);
     // Additional expected latency that is accepted before a searcher of another zone is preferred
--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -202,6 +202,7 @@
     this->updateStandby(now);
     this->announceRevision();
     this->requestViewIfBehind(now);
+    this->logConfirmation(now);
     this->timer = this->loop.schedule(now + tickPeriod, [this] { this->tick(); });
 }
 
@@ -287,6 +288,21 @@
     this->sendHeartbeats(out);
 }
 
+void ViewExchange::logConfirmation(Millis now)
+{
+    const Millis age = now - std::max(this->view.confirmedAt(), this->startedAt);
+    const bool isUnconfirmed = age > this->settings.changeDeadline;
+    if (isUnconfirmed == this->loggedUnconfirmed)
+        return;
+    this->loggedUnconfirmed = isUnconfirmed;
+    logEvent(isUnconfirmed ? LogEvent::ViewUnconfirmed : LogEvent::ViewConfirmed,
+             "age_ms=" + std::to_string(static_cast<int>(age.count()))
+                     + " revision=" + std::to_string(this->view.revision())
+                     + " tables=" + std::to_string(this->view.tablesRevision().value)
+                     + " store_answers=" + (this->hooks.isStoreHealthy() ? "1" : "0")
+                     + " standby=" + (this->standby ? "1" : "0"));
+}
+
 void ViewExchange::requestViewIfBehind(Millis now)
 {
     const std::vector<HostId> ahead = this->membership.aheadOf({ this->view.revision() });
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -91,6 +91,8 @@
     void logPeers(std::uint32_t count);
     void updateStandby(Millis now);
     void announceRevision();
+    // Logs when the view begins or ceases to be unconfirmed for longer than a change may take.
+    void logConfirmation(Millis now);
     std::string viewAddressOf(const std::string &heartbeatAddress) const;
     std::string heartbeatAddressOf(const std::string &viewAddress) const;
 
@@ -113,6 +115,8 @@
     std::uint64_t catchUpRevision = 0;
     bool requestPending = false;
     bool standby = false;
+    // True while the view is logged as unconfirmed.
+    bool loggedUnconfirmed = false;
     std::uint64_t announcedRevision = 0;
     // Number of eligible hosts at the last updateFleetCapacity.
     std::uint32_t hostCount = 0;
