A watch of the simulated store ends only at its own timeout

The timer of a watch that had been woken ended the next watch of the same host, so each change left one more chain of early ends behind. The stand-in's store now knows its watches by number, and can lose them.

--- a/bench/virtual/virtualfleet.cpp
+++ b/bench/virtual/virtualfleet.cpp
@@ -258,12 +258,11 @@
         });
         return;
     }
-    this->watches.push_back({ number, incarnation });
-    this->clock.after(SyncTimings().maxWatchWait, [this, number, incarnation] {
-        const auto open
-                = std::find_if(this->watches.begin(), this->watches.end(), [&](const Watch &w) {
-                      return w.host == number && w.incarnation == incarnation;
-                  });
+    const std::uint64_t id = ++this->lastWatchId;
+    this->watches.push_back({ id, number, incarnation });
+    this->clock.after(SyncTimings().maxWatchWait, [this, id, number, incarnation] {
+        const auto open = std::find_if(this->watches.begin(), this->watches.end(),
+                                       [id](const Watch &watch) { return watch.id == id; });
         if (open == this->watches.end())
             return;
         this->watches.erase(open);
--- a/bench/virtual/virtualfleet.h
+++ b/bench/virtual/virtualfleet.h
@@ -47,6 +47,8 @@
     void editTables();
     // Starts or ends a store outage. An outage ends the pending watches.
     void setStoreUp(bool up);
+    // Loses the pending watches: their hosts get no answer and no other sign of it.
+    void loseWatches() { this->watches.clear(); }
     // Isolates a zone from the others and from the store, or reconnects it.
     void setZoneIsolated(std::uint32_t zone, bool isolated);
     // Stops a host without notice to the others.
@@ -74,6 +76,7 @@
     // A store call that waits for the next change of the manifest.
     struct Watch
     {
+        std::uint64_t id = 0;
         std::uint32_t host = 0;
         std::uint64_t incarnation = 0;
     };
@@ -105,6 +108,7 @@
     std::vector<std::uint64_t> incarnations;
     std::vector<bool> isolatedZones;
     std::vector<Watch> watches;
+    std::uint64_t lastWatchId = 0;
     bool storeUp = true;
     std::string manifestBytes;
     ChunkMap storeChunks;
