--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -62,6 +62,17 @@
     CHECK(fleet.revisionRegressions() == 0);
 }
 
+TEST_CASE("a change after the store has lost every watch reaches all hosts within seconds")
+{
+    VirtualFleet fleet(smallFleet());
+    fleet.runUntil(Millis(5000));
+    fleet.loseWatches();
+    fleet.runUntil(Millis(5100));
+    fleet.editTables();
+    fleet.runUntil(Millis(10'100));
+    CHECK(fleet.upToDateHostCount() == fleet.runningHostCount());
+}
+
 TEST_CASE("a host that starts during a store outage gets the tables from other hosts")
 {
     VirtualFleet fleet(smallFleet());
