Test: a reply that breaks off at any byte is no success

From a report of other operators: a searcher that stopped in the middle of its answer's head and closed made them answer 200 with an empty body.

--- a/tests/searcherlinktest.cpp
+++ b/tests/searcherlinktest.cpp
@@ -200,6 +200,23 @@
     CHECK(other.outcome.code == Fault::WrongIncarnation);
 }
 
+TEST_CASE("a reply that breaks off at any byte of its head or framed body is no success")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Quetzal-Request-Id: r0\r\nX-Quetzal-Seal: s\r\n";
+    const std::string unframedHead = head + "\r\n";
+    const std::vector<std::string> replies
+            = { head + "Content-Length: 3\r\n\r\nabc",
+                head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", unframedHead };
+    for (const std::string &reply : replies) {
+        CHECK(runSingle({ reply, true }).outcome.succeeded());
+        for (std::size_t sent = 0; sent < reply.size(); ++sent) {
+            const AttemptEnd end = runSingle({ reply.substr(0, sent), true });
+            CHECK_MESSAGE(!end.outcome.succeeded(), sent, " bytes of ", reply);
+            CHECK(end.outcome.verdict == Verdict::MayHaveRun);
+        }
+    }
+}
+
 TEST_CASE("a late reply to another request is skipped, and its connection is not reused")
 {
     LinkFixture fixture({ { replyFor("older", "zzz") + replyFor("r0") }, { replyFor("r1") } });
