The end of a planned stop answers the requests that still run

What callers saw: a request that was read during the grace time and outlasted it ended with a closed connection, among them requests that may not be repeated, whose callers could not know whether they ran.

It can happen here for routes with more time than the rest of the grace time: the loop stopped with requests running (test: 0 of 2 requests had an answer). Now they get 502 may-have-run 400 ms before the end, and a request that may not be repeated is refused as not run when it could outlast the stop, so that its caller can try another host at once.

Both tests fail without the change and pass with it.

--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -16,6 +16,8 @@
 static constexpr double acceptingFraction = 0.45;
 // Part of the grace period that is reserved for the process to exit.
 static constexpr Millis exitMargin = Millis(400);
+// Part of it in which the failures of the last requests are sent.
+static constexpr Millis failureSendTime = Millis(200);
 static constexpr Millis drainCheckPeriod = Millis(50);
 
 static std::uint64_t randomSeed(const std::string &name)
@@ -195,6 +197,7 @@
     this->stopping = true;
     const Millis now = SteadyClock::now();
     this->shutdownDeadline = now + this->settings.grace - exitMargin;
+    this->gateway.setShutdownDeadline(this->shutdownDeadline);
     logEvent(LogEvent::Stopping, "host=" + this->settings.name);
     this->logReadinessChange();
     this->exchange->leave();
@@ -215,8 +218,11 @@
     const bool idle = this->gateway.runningRequests() == 0 && this->scatters.running() == 0
                       && this->callerServer->connectionCount() == 0;
     const bool deadlinePassed = SteadyClock::now() >= this->shutdownDeadline;
-    if (idle || deadlinePassed) {
-        this->cutOff = !idle && this->gateway.runningRequests() > 0;
+    if (deadlinePassed && this->gateway.runningRequests() > 0) {
+        this->cutOff = true;
+        this->gateway.failRemaining();
+    }
+    if (idle || SteadyClock::now() >= this->shutdownDeadline + failureSendTime) {
         this->loop.stop();
         return;
     }
--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -70,6 +70,12 @@
         this->refuse(*exchange, statusUnavailable, Fault::PoolEmpty, fields);
         return;
     }
+    const Millis latestEnd
+            = now + std::min(fields.timeout.value_or(route->deadline), route->deadline);
+    if (!route->repeatable && latestEnd > this->shutdownDeadline) {
+        this->refuse(*exchange, statusUnavailable, Fault::Stopping, fields);
+        return;
+    }
     this->begin(exchange, *route, fields, now);
 }
 
@@ -400,6 +406,19 @@
     }
 }
 
+void Gateway::failRemaining()
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto &[number, entry] : this->running)
+        numbers.push_back(number);
+    for (const std::uint64_t number : numbers) {
+        RunningRequest &entry = this->running.at(number);
+        entry.mayHaveRun = true;
+        entry.lastFailure = Fault::Stopping;
+        this->respondFailure(number);
+    }
+}
+
 void Gateway::onCallerGone(std::uint64_t number)
 {
     const auto found = this->running.find(number);
--- a/src/request/gateway.h
+++ b/src/request/gateway.h
@@ -26,6 +26,13 @@
     // Handles a caller's request; answers it now or later.
     void onRequest(const std::shared_ptr<HttpExchange> &exchange);
 
+    // Sets when the process ends at the latest. From now on a request that may not be repeated is
+    // refused if it could run until then, as its caller would not learn whether it ran.
+    void setShutdownDeadline(Millis at) { this->shutdownDeadline = at; }
+
+    // Answers all remaining requests with a failure, because the process is about to end.
+    void failRemaining();
+
     // Returns the number of requests that are not answered yet.
     std::size_t runningRequests() const { return this->running.size(); }
 
@@ -131,6 +138,7 @@
     ScatterExecutor &scatterExecutor;
     PartRelay &partRelay;
     std::string zone;
+    Millis shutdownDeadline = Millis::never();
     std::uint64_t lastNumber = 0;
     // By request number.
     std::unordered_map<std::uint64_t, RunningRequest> running;
--- a/tests/gatewayprocesstest.cpp
+++ b/tests/gatewayprocesstest.cpp
@@ -64,7 +64,7 @@
 class GatewayFixture
 {
 public:
-    explicit GatewayFixture(Millis delay)
+    explicit GatewayFixture(Millis delay, Millis grace = Millis(1500))
         : first(this->loop, "a", delay)
         , second(this->loop, "b", delay)
     {
@@ -75,7 +75,7 @@
         this->settings.viewAddress = freeAddress();
         this->settings.heartbeatAddress = freeAddress();
         this->settings.storeAddress = freeAddress();
-        this->settings.grace = Millis(1500);
+        this->settings.grace = grace;
         this->process = std::make_unique<GatewayProcess>(
                 this->settings, HeaderNames(),
                 [this](EventLoop &, const std::string &, ServingView &view) {
@@ -134,8 +134,8 @@
             this->loop.runOnce();
     }
 
-    // Makes the gateway apply tables with a route to pool a and one that merges the replies of
-    // the given pools.
+    // Makes the gateway apply tables with a route to pool a, a second one that may not be repeated,
+    // and one that merges the replies of the given pools.
     void serveView(std::vector<std::string> pools = { "a", "b" })
     {
         this->shardPools = std::move(pools);
@@ -176,7 +176,11 @@
         single.pathPrefix = "/one/";
         single.shardPools.clear();
         single.pool = "a";
-        tables.routes = { merged, single };
+        Route once = single;
+        once.name = "once";
+        once.pathPrefix = "/once/";
+        once.repeatable = false;
+        tables.routes = { merged, single, once };
         std::vector<SearcherRegistration> registrations;
         for (const auto &[pool, address] : std::map<std::string, std::string>{
                      { "a", this->first.address() }, { "b", this->second.address() } }) {
@@ -279,6 +283,45 @@
     CHECK(fixture.drained);
 }
 
+TEST_CASE("a request that outlasts the grace period of a shutdown gets a failure, not a lost "
+          "connection")
+{
+    GatewayFixture fixture(Millis(800), Millis(700));
+    fixture.serveView();
+    std::map<std::string, HttpResponse> answers;
+    for (const char *target : { "/once/x", "/all/x" })
+        fixture.send(target, [&answers, target](const HttpResponse &response) {
+            answers[target] = response;
+        });
+    fixture.runUntil([&] { return fixture.first.requestCount == 2; });
+    fixture.stopRequested = true;
+    fixture.runUntil([&] { return answers.size() == 2; });
+    REQUIRE(answers.size() == 2);
+    for (const auto &[target, answer] : answers) {
+        CHECK(answer.head.getStatus() == 502);
+        CHECK(answer.body.find("may-have-run") != std::string::npos);
+    }
+    fixture.processThread.join();
+    CHECK_FALSE(fixture.drained);
+}
+
+TEST_CASE("a request that may not be repeated is refused when it could outlast the shutdown")
+{
+    GatewayFixture fixture(Millis(5));
+    fixture.serveView();
+    fixture.stopRequested = true;
+    const Millis wait = SteadyClock::now() + Millis(400);
+    fixture.runUntil([&] { return SteadyClock::now() > wait; });
+    const auto refused = fixture.get("/once/x");
+    REQUIRE(refused);
+    CHECK(refused->head.getStatus() == 503);
+    CHECK(refused->body.find("not-run") != std::string::npos);
+    CHECK(fixture.first.requestCount == 0);
+    const auto repeatable = fixture.get("/one/x");
+    REQUIRE(repeatable);
+    CHECK(repeatable->head.getStatus() == 200);
+}
+
 TEST_CASE("when a caller disconnects, its request is cancelled at the searcher")
 {
     GatewayFixture fixture(Millis(1500));
