Statements of searchers about themselves are read and logged

A searcher that limits its requests names the rate in its replies; no line of any host mentioned it. The limit is decoded into SearcherStatement, kept with the tracked searcher and logged (QZ2110) when it begins, changes and ends, with the request whose reply told it. No decision depends on it yet.

--- a/src/connection/httpcodec.cpp
+++ b/src/connection/httpcodec.cpp
@@ -66,6 +66,16 @@
     return Millis(std::min(value, maxTimeoutMs));
 }
 
+// Returns a finite, non-negative number of requests a second, or nothing if the text is malformed.
+static std::optional<double> parseRequestLimit(const std::string &text)
+{
+    double value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isValid = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size()
+                         && std::isfinite(value) && value >= 0;
+    return isValid ? std::optional(value) : std::nullopt;
+}
+
 // Parses "running,waiting,slots".
 static std::optional<LoadReport> parseLoadReport(const std::string &text)
 {
@@ -168,6 +178,8 @@
             reply.notRun = true;
         if (equalFieldNames(name, this->names.seal))
             reply.seal = value;
+        if (equalFieldNames(name, this->names.requestLimit))
+            reply.statement.requestLimit = parseRequestLimit(value);
         if (equalFieldNames(name, this->names.load)) {
             reply.load = parseLoadReport(value);
             continue;
--- a/src/connection/httpcodec.h
+++ b/src/connection/httpcodec.h
@@ -29,6 +29,9 @@
     std::string notRun = "X-Quetzal-Not-Run";
     // Number of running requests, waiting requests and slots, separated by commas.
     std::string load = "X-Quetzal-Load";
+    // Requests a second that a searcher accepts from all hosts together, in its replies while it
+    // does.
+    std::string requestLimit = "X-Quetzal-Request-Limit";
     // Seals of the replies that a merged answer contains.
     std::string partSeals = "X-Quetzal-Parts";
     // Number of shards that are missing from a merged answer.
@@ -68,6 +71,15 @@
     std::uint32_t slots = 0;
 };
 
+// What a searcher states about itself in a reply, apart from its load.
+struct SearcherStatement
+{
+    // Requests a second that it accepts from all hosts together, if it limits them.
+    std::optional<double> requestLimit;
+
+    friend bool operator==(const SearcherStatement &, const SearcherStatement &) = default;
+};
+
 // How the request id in a reply compares with that of the request it was received for.
 enum class RequestIdMatch { Equal, Different, Absent };
 
@@ -83,6 +95,7 @@
     // Signature of the reply; empty if it has none.
     std::string seal;
     std::optional<LoadReport> load;
+    SearcherStatement statement;
     // Fields that are forwarded to the caller.
     std::vector<HttpField> fields;
     std::string body;
--- a/src/connection/searcherlink.cpp
+++ b/src/connection/searcherlink.cpp
@@ -230,6 +230,8 @@
     const Outcome outcome = this->classifyReply(reply);
     if (reply.load && this->callbacks.onLoad)
         this->callbacks.onLoad(*reply.load);
+    if (this->callbacks.onStatement)
+        this->callbacks.onStatement(reply.statement, connection->lastRequestId);
     const bool surplus = connection->reader.hasPartial();
     connection->work.reset();
     const bool valid = connection->reusable && outcome.code != Fault::ReplyMismatch;
--- a/src/connection/searcherlink.h
+++ b/src/connection/searcherlink.h
@@ -24,6 +24,8 @@
 {
     std::function<void(const AttemptId &, const Outcome &, SearcherReply &&)> onEnd;
     std::function<void(const LoadReport &)> onLoad;
+    // Called for each reply to a request of this host, with the id of that request.
+    std::function<void(const SearcherStatement &, const std::string &)> onStatement;
 };
 
 // Sends attempts to one incarnation of a searcher, one at a time on each connection, and reports
--- a/src/process/eventlog.h
+++ b/src/process/eventlog.h
@@ -63,6 +63,8 @@
     ViewConfirmed,
     // The store is asked anew, because a call that it may have lost looks like one that waits.
     ViewDoubted,
+    // A searcher states something else about itself than before.
+    SearcherStatementChanged,
 };
 
 // Severity of an event.
@@ -77,7 +79,7 @@
 };
 
 // Indexed by LogEvent.
-inline constexpr std::array<LogEventInfo, 43> logEvents = { {
+inline constexpr std::array<LogEventInfo, 44> logEvents = { {
         { 1001, "started", LogLevel::Info },
         { 1002, "ready", LogLevel::Info },
         { 1003, "not-ready", LogLevel::Warning },
@@ -121,6 +123,7 @@
         { 1108, "view-unconfirmed", LogLevel::Warning },
         { 1109, "view-confirmed", LogLevel::Info },
         { 1110, "view-doubted", LogLevel::Info },
+        { 2110, "searcher-statement", LogLevel::Info },
 } };
 
 // Sends log lines to a file, or to standard error if the path is empty.
--- a/src/request/scatterexecutor.cpp
+++ b/src/request/scatterexecutor.cpp
@@ -232,6 +232,11 @@
         if (const auto locked = weak.lock())
             locked->searcher->onLoad(report, SteadyClock::now());
     };
+    callbacks.onStatement
+            = [this, weak](const SearcherStatement &statement, const std::string &requestId) {
+                  if (const auto locked = weak.lock())
+                      this->onStatement(*locked, statement, requestId);
+              };
     target->link = std::make_shared<SearcherLink>(this->loop, this->metrics, this->codec,
                                                   registration.id, registration.address,
                                                   std::move(callbacks));
@@ -240,6 +245,22 @@
     return target;
 }
 
+void ScatterExecutor::onStatement(const Target &target, const SearcherStatement &statement,
+                                  const std::string &requestId)
+{
+    if (!target.searcher->onStatement(statement))
+        return;
+    std::ostringstream line;
+    line << "searcher=" << target.searcher->registration().id << " pool=" << target.pool->name()
+         << " request_limit=";
+    if (statement.requestLimit)
+        line << *statement.requestLimit;
+    else
+        line << "none";
+    line << " id=" << requestId;
+    logEvent(LogEvent::SearcherStatementChanged, line.str());
+}
+
 void ScatterExecutor::applyMaxConnections(Target &target) const
 {
     std::uint32_t maxConnections = maxConnectionsPerSearcher;
--- a/src/request/scatterexecutor.h
+++ b/src/request/scatterexecutor.h
@@ -128,6 +128,9 @@
     TargetPtr makeTarget(const DirectoryRecord &record, Millis now);
     // Adds, updates or replaces a searcher.
     void applyRecord(const DirectoryRecord &record, Millis now);
+    // Records what a searcher states about itself, in the reply to a request.
+    void onStatement(const Target &target, const SearcherStatement &statement,
+                     const std::string &requestId);
     // Takes a searcher out of its pool. Its connections close once they are idle.
     void retire(const TargetPtr &target);
     // Sets the number of connections: this host's part of the pool's limit.
--- a/src/request/trackedsearcher.cpp
+++ b/src/request/trackedsearcher.cpp
@@ -130,6 +130,14 @@
     this->loadReceivedAt = now;
 }
 
+bool TrackedSearcher::onStatement(const SearcherStatement &statement)
+{
+    if (statement == this->currentStatement)
+        return false;
+    this->currentStatement = statement;
+    return true;
+}
+
 double TrackedSearcher::currentSlowness(Millis now) const
 {
     return 1 + decayed(this->slowness - 1, now - this->slownessAt, estimateHalfLife);
--- a/src/request/trackedsearcher.h
+++ b/src/request/trackedsearcher.h
@@ -40,6 +40,12 @@
     // Records the searcher's report of its load.
     void onLoad(const LoadReport &report, Millis now);
 
+    // Records what the searcher states about itself. Returns true if that differs from before.
+    bool onStatement(const SearcherStatement &statement);
+
+    // Returns the latest statement of the searcher about itself.
+    const SearcherStatement &statement() const { return this->currentStatement; }
+
     // Returns the expected latency of an attempt sent now, plus the zone penalty and penalties for
     // recent refusals and a stall. typicalLatency: mean latency of the route.
     Millis cost(Millis typicalLatency, Millis now) const;
@@ -95,6 +101,7 @@
     Millis refusalRateAt;
     int consecutiveFailures = 0;
     Millis backOffUntil;
+    SearcherStatement currentStatement;
     LoadReport load;
     Millis loadReceivedAt = Millis(-1e9);
 };
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -405,6 +405,20 @@
     CHECK(isServable(fixture.pools, 1, Millis(50)));
 }
 
+TEST_CASE("a searcher's request limit is read from its reply, and a malformed one is ignored")
+{
+    const HttpCodec codec{ HeaderNames() };
+    const auto limitIn = [&codec](const std::string &value) {
+        HttpResponse response;
+        response.head.set("X-Quetzal-Request-Limit", value);
+        return codec.decodeReply(std::move(response), OutboundRequest()).statement.requestLimit;
+    };
+    CHECK(limitIn("25.5") == 25.5);
+    CHECK(limitIn("0") == 0.0);
+    for (const char *value : { "", "-1", "many", "1e999", "nan", "inf", "25 " })
+        CHECK_MESSAGE(!limitIn(value), value);
+}
+
 TEST_CASE("the searcher in the local zone is preferred until it refuses repeatedly")
 {
     ShardPool pool("p", RetryBudgetOptions(), 1);
