--- a/bench/virtual/virtualgateways.cpp
+++ b/bench/virtual/virtualgateways.cpp
@@ -40,7 +40,12 @@
 struct VirtualGateways::Searcher
 {
     std::size_t shard = 0;
+    // Number among the searchers of its shard.
+    std::size_t index = 0;
     std::size_t zone = 0;
+    // Arrivals of requests that count towards its limit, and since when each host has known it.
+    std::vector<Millis> countedArrivals;
+    std::map<const Host *, Millis> limitKnownSince;
     Millis pausePhase;
     bool isSlow = false;
     std::uint32_t running = 0;
@@ -75,6 +80,7 @@
         for (std::size_t i = 0; i < setup.searchersPerShard; ++i) {
             auto searcher = std::make_unique<Searcher>();
             searcher->shard = shard;
+            searcher->index = i;
             searcher->zone = (shard + i) % setup.zones;
             searcher->pausePhase = setup.pausePeriod * this->randomFraction();
             searcher->isSlow = this->randomFraction() < setup.slowShare;
@@ -121,11 +127,44 @@
     return since >= Millis(0) && since < this->setup.faultDuration;
 }
 
+bool VirtualGateways::isLimited(const Searcher &searcher) const
+{
+    return this->isFaultActive() && searcher.index < this->setup.limitedSearchersPerShard;
+}
+
+void VirtualGateways::evaluateLimitUse()
+{
+    static constexpr double millisPerSecond = 1000;
+    const double allowed
+            = limitTolerance * this->setup.requestLimit * (limitWindow.count() / millisPerSecond)
+              + limitSlack;
+    std::size_t total = 0;
+    std::size_t limitedCount = 0;
+    for (const auto &searcher : this->searchers) {
+        limitedCount += searcher->index < this->setup.limitedSearchersPerShard;
+        const std::vector<Millis> &arrivals = searcher->countedArrivals;
+        total += arrivals.size();
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < arrivals.size(); ++last) {
+            while (arrivals[last] - arrivals[first] > limitWindow)
+                ++first;
+            this->statistics.peakLimitUse = std::max(
+                    this->statistics.peakLimitUse, static_cast<double>(last - first + 1) / allowed);
+        }
+    }
+    const double seconds = (this->setup.faultDuration - limitWindow).count() / millisPerSecond;
+    if (limitedCount > 0)
+        this->statistics.meanLimitUse = static_cast<double>(total) / seconds
+                                        / this->setup.requestLimit
+                                        / static_cast<double>(limitedCount);
+}
+
 GatewayStatistics VirtualGateways::run()
 {
     for (std::size_t route = 0; route < this->setup.routes.size(); ++route)
         this->scheduleArrival(route);
     this->time.runUntil(this->setup.duration + settlingTime);
+    this->evaluateLimitUse();
     this->statistics.extraShare = static_cast<double>(this->extraAttemptCount)
                                   / static_cast<double>(std::max(1UL, this->partRequestCount));
     this->statistics.partialShare = static_cast<double>(this->partialAnswerCount)
@@ -239,6 +278,13 @@
     Searcher &searcher = *job->searcher;
     if (job->cancelled)
         return;
+    const Millis now = this->time.now();
+    const auto known = searcher.limitKnownSince.find(job->request->host);
+    const bool isCounted = this->isLimited(searcher) && now >= this->setup.faultStart + limitWindow
+                           && known != searcher.limitKnownSince.end()
+                           && now - known->second >= limitNoticeTime;
+    if (isCounted)
+        searcher.countedArrivals.push_back(now);
     if (searcher.running < this->setup.slots)
         this->runJob(searcher, job);
     else if (searcher.waiting.size() < this->setup.queueCapacity)
@@ -313,7 +359,12 @@
     LoadReport load;
     load.running = searcher.running;
     load.waiting = static_cast<std::uint32_t>(searcher.waiting.size());
-    this->time.after(job->oneWayDelay, [this, job, load] {
+    SearcherStatement statement;
+    if (this->isLimited(searcher))
+        statement.requestLimit = this->setup.requestLimit;
+    this->time.after(job->oneWayDelay, [this, job, load, statement] {
+        if (statement.requestLimit)
+            job->searcher->limitKnownSince.try_emplace(job->request->host, this->time.now());
         if (this->setup.policy.observations)
             job->tracked->onLoad(load, this->time.now());
         this->deliverOutcome(job, { Verdict::Ran, {}, Hop::Searcher });
--- a/bench/virtual/virtualgateways.h
+++ b/bench/virtual/virtualgateways.h
@@ -72,10 +72,20 @@
     double slowFactor = 8;
     // All searchers of this number of shards accept requests and never answer.
     std::size_t silentShards = 0;
+    // Of each shard, this number of searchers limits the requests that it accepts a second from all
+    // hosts together, and says so in its replies.
+    std::size_t limitedSearchersPerShard = 0;
+    double requestLimit = 25;
     // Factor on the request rates.
     double loadFactor = 1;
 };
 
+// How the requests to a searcher with a limit are judged.
+inline constexpr Millis limitWindow = Millis(4000);
+inline constexpr Millis limitNoticeTime = Millis(500);
+inline constexpr double limitTolerance = 1.5;
+inline constexpr double limitSlack = 5;
+
 // Results of a run. Requests that arrive while the load builds up are not counted.
 struct GatewayStatistics
 {
@@ -90,6 +100,13 @@
     // Share of the successful answers that lack a part.
     double partialShare = 0;
 
+    // Most requests that a searcher with a limit got in limitWindow, relative to what may reach it:
+    // limitTolerance times its limit, plus limitSlack requests. Counted are requests of hosts that
+    // have known the limit for limitNoticeTime, from limitWindow after its beginning on.
+    double peakLimitUse = 0;
+    // Mean rate of these requests, relative to the limit.
+    double meanLimitUse = 0;
+
     // Returns the reached share of the value of all requests.
     double valueShare() const
     {
@@ -133,6 +150,9 @@
     // Returns when work that starts at a time is done, with the pauses of the searcher in between.
     Millis completionTime(const Searcher &searcher, Millis from, Millis serviceTime) const;
     bool isFaultActive() const;
+    bool isLimited(const Searcher &searcher) const;
+    // Computes how far the requests to searchers with a limit used it.
+    void evaluateLimitUse();
 
     GatewaySetup setup;
     VirtualTime time;
