All hosts together keep to the request limit that a searcher names

What searchers saw: one that named a limit of 25 requests a second got 245 in 4 s where 156 were the most that may reach it. Callers saw nothing, as the searcher still answered.

Cause: the limit was not read, and a host that had kept to it alone would have sent its own part several times over with seven hosts.

Change: RateShare divides the limit by reported demand. A host that has just learned of it takes its capacity's part of the fleet for a second; then it takes the part that its demand has in the sum of all reports. A token bucket enforces the part on every attempt, whatever it is for. Reports are a new type of message between hosts, which older hosts ignore; they go to the hosts likely to use the searcher and to those that reported. The limit and its end spread with the time of the searcher's statement, so that a later one always wins.

--- a/bench/virtual/virtualgateways.cpp
+++ b/bench/virtual/virtualgateways.cpp
@@ -22,6 +22,9 @@
 // This share of the work takes stragglerFactor times as long.
 static constexpr double stragglerShare = 0.01;
 static constexpr double stragglerFactor = 5;
+// How often hosts send the reports on searchers with a limit that are due, and how many are lost.
+static constexpr Millis reportCheckPeriod = Millis(50);
+static constexpr double reportLoss = 0.02;
 // Standard deviation of the logarithm of the service time.
 static constexpr double serviceTimeSigma = 0.35;
 
@@ -56,6 +59,8 @@
 {
     std::size_t zone = 0;
     std::vector<std::shared_ptr<ShardPool>> pools;
+    // The searchers of all shards, in the order of VirtualGateways::searchers.
+    std::vector<std::shared_ptr<TrackedSearcher>> tracked;
     std::map<const TrackedSearcher *, Searcher *> searcherOf;
     std::vector<RouteLatency> routeLatencies;
 };
@@ -107,6 +112,10 @@
                     isNear ? Millis() : zonePenalty);
             tracked->setMaxConnections(2);
             host->pools[searcher->shard]->add(tracked);
+            tracked->rateShare().setInitialTokens(static_cast<double>(index)
+                                                  / static_cast<double>(setup.hosts));
+            tracked->rateShare().setDefaultPart(1 / static_cast<double>(setup.hosts));
+            host->tracked.push_back(tracked);
             host->searcherOf[tracked.get()] = searcher.get();
         }
         this->hosts.push_back(std::move(host));
@@ -132,6 +141,28 @@
     return this->isFaultActive() && searcher.index < this->setup.limitedSearchersPerShard;
 }
 
+void VirtualGateways::exchangeRateReports()
+{
+    const Millis now = this->time.now();
+    for (std::size_t sender = 0; sender < this->hosts.size(); ++sender) {
+        for (std::size_t number = 0; number < this->searchers.size(); ++number) {
+            const auto report = this->hosts[sender]->tracked[number]->rateShare().takeReport(now);
+            if (!report)
+                continue;
+            for (std::size_t receiver = 0; receiver < this->hosts.size(); ++receiver) {
+                if (receiver == sender || this->randomFraction() < reportLoss)
+                    continue;
+                this->time.after(this->setup.zoneOneWayDelay,
+                                 [this, sender, number, receiver, report] {
+                                     this->hosts[receiver]->tracked[number]->rateShare().onReport(
+                                             { sender }, *report, this->time.now());
+                                 });
+            }
+        }
+    }
+    this->time.after(reportCheckPeriod, [this] { this->exchangeRateReports(); });
+}
+
 void VirtualGateways::evaluateLimitUse()
 {
     static constexpr double millisPerSecond = 1000;
@@ -163,6 +194,8 @@
 {
     for (std::size_t route = 0; route < this->setup.routes.size(); ++route)
         this->scheduleArrival(route);
+    if (this->setup.limitedSearchersPerShard > 0)
+        this->exchangeRateReports();
     this->time.runUntil(this->setup.duration + settlingTime);
     this->evaluateLimitUse();
     this->statistics.extraShare = static_cast<double>(this->extraAttemptCount)
@@ -363,6 +396,7 @@
     if (this->isLimited(searcher))
         statement.requestLimit = this->setup.requestLimit;
     this->time.after(job->oneWayDelay, [this, job, load, statement] {
+        job->tracked->onStatement(statement, this->time.now());
         if (statement.requestLimit)
             job->searcher->limitKnownSince.try_emplace(job->request->host, this->time.now());
         if (this->setup.policy.observations)
--- a/bench/virtual/virtualgateways.h
+++ b/bench/virtual/virtualgateways.h
@@ -151,6 +151,8 @@
     Millis completionTime(const Searcher &searcher, Millis from, Millis serviceTime) const;
     bool isFaultActive() const;
     bool isLimited(const Searcher &searcher) const;
+    // Sends the hosts' reports on searchers with a limit to each other, again and again.
+    void exchangeRateReports();
     // Computes how far the requests to searchers with a limit used it.
     void evaluateLimitUse();
 
--- a/src/connection/relaymessages.h
+++ b/src/connection/relaymessages.h
@@ -82,8 +82,29 @@
     }
 };
 
-// The type of a relay message; its first byte.
-enum class RelayMessageKind : std::uint8_t { Query, Answer, Cancel };
+// The sender's use of a searcher that limits the requests of all hosts together.
+struct RelayRateReport
+{
+    // Registration id of the searcher.
+    std::string searcher;
+    // False if the searcher no longer limits its requests.
+    bool isLimited = false;
+    // Requests a second that the searcher accepts.
+    double limit = 0;
+    // How long ago the searcher stated that.
+    double ageMs = 0;
+    // Requests a second for which the sender could use the searcher.
+    double demand = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->searcher, this->isLimited, this->limit, this->ageMs, this->demand);
+    }
+};
+
+// The type of a relay message; its first byte. Hosts ignore types that they do not know.
+enum class RelayMessageKind : std::uint8_t { Query, Answer, Cancel, RateReport };
 
 // Encodes a message after a byte with its type.
 template <typename Message>
--- a/src/request/partrelay.cpp
+++ b/src/request/partrelay.cpp
@@ -6,7 +6,10 @@
 #include "request/recordmerge.h"
 
 #include <algorithm>
+#include <cmath>
+#include <set>
 #include <sstream>
+#include <tuple>
 
 namespace quetzal {
 
@@ -16,6 +19,8 @@
 static constexpr std::size_t maxLocalParts = 32;
 // Maximum number of parts in one message, so that the message and its answer fit in a datagram.
 static constexpr std::size_t maxPartsPerMessage = 23;
+// Number of hosts that get a report on the use of a searcher, besides those that have sent one.
+static constexpr std::size_t maxReportReceivers = 24;
 // A running, reachable host acknowledges a message within this time, or within this many round
 // trips if that is longer.
 static constexpr Millis minAcknowledgeTimeout = Millis(40);
@@ -32,7 +37,12 @@
     , self(std::move(self))
     , planner(seed)
     , processingReserve(initialProcessingReserve, maxProcessingReserve)
-{}
+{
+    this->scatterExecutor.setRateReporter(
+            [this](const TrackedSearcher &searcher, const RateReport &report) {
+                this->sendRateReport(searcher, report);
+            });
+}
 
 RouteLatency &PartRelay::routeLatency(const std::string &route)
 {
@@ -252,9 +262,50 @@
         if (const auto cancel = decode<RelayCancel>(body))
             this->onCancel(from, *cancel);
         break;
+    case RelayMessageKind::RateReport:
+        if (const auto report = decode<RelayRateReport>(body))
+            this->onRateReport(from, *report);
+        break;
     }
 }
 
+void PartRelay::onRateReport(HostId from, const RelayRateReport &message)
+{
+    const bool isValid = std::isfinite(message.limit) && message.limit >= 0
+                         && std::isfinite(message.ageMs) && message.ageMs >= 0
+                         && std::isfinite(message.demand) && message.demand >= 0;
+    if (!isValid)
+        return;
+    RateReport report;
+    if (message.isLimited)
+        report.limit = message.limit;
+    report.age = Millis(message.ageMs);
+    report.demand = message.demand;
+    this->scatterExecutor.onRateReport(from, message.searcher, report);
+}
+
+void PartRelay::sendRateReport(const TrackedSearcher &searcher, const RateReport &report)
+{
+    if (!this->send)
+        return;
+    std::set<HostId> receivers;
+    searcher.rateShare().forEachReporter(SteadyClock::now(),
+                                         [&](HostId host) { receivers.insert(host); });
+    // Hosts that are likely to use the searcher come first: those of its zone with most capacity.
+    std::vector<RelayPeer> likely = this->peers;
+    std::sort(likely.begin(), likely.end(), [&](const RelayPeer &a, const RelayPeer &b) {
+        const std::string &zone = searcher.registration().zone;
+        return std::tuple(a.zone != zone, -a.capacity, a.id)
+               < std::tuple(b.zone != zone, -b.capacity, b.id);
+    });
+    for (std::size_t i = 0; i < std::min(maxReportReceivers, likely.size()); ++i)
+        receivers.insert(likely[i].id);
+    const RelayRateReport message = { searcher.registration().id, report.limit.has_value(),
+                                      report.limit.value_or(0), report.age.count(), report.demand };
+    for (const HostId host : receivers)
+        this->send(host, encodeRelayMessage(RelayMessageKind::RateReport, message));
+}
+
 void PartRelay::sendAnswer(HostId to, const RelayAnswer &answer)
 {
     this->send(to, encodeRelayMessage(RelayMessageKind::Answer, answer));
--- a/src/request/partrelay.h
+++ b/src/request/partrelay.h
@@ -71,7 +71,11 @@
     }
 
     // Sets the other hosts that are currently alive.
-    void setPeers(std::vector<RelayPeer> peers) { this->planner.setPeers(std::move(peers)); }
+    void setPeers(const std::vector<RelayPeer> &newPeers)
+    {
+        this->peers = newPeers;
+        this->planner.setPeers(newPeers);
+    }
 
     // Assigns the parts of a route to this host and to relays.
     GatherPlan planGather(const Route &route, Millis now);
@@ -139,12 +143,17 @@
     void onAnswer(HostId from, RelayAnswer &&answer);
     void onCancel(HostId from, const RelayCancel &cancel);
     void sendAnswer(HostId to, const RelayAnswer &answer);
+    void onRateReport(HostId from, const RelayRateReport &message);
+    // Tells the hosts that may use a searcher with a request limit how much this host uses it.
+    void sendRateReport(const TrackedSearcher &searcher, const RateReport &report);
 
     EventLoop &loop;
     const ServingView &view;
     ScatterExecutor &scatterExecutor;
     RelayPeer self;
     RelayPlanner planner;
+    // The other hosts that are alive.
+    std::vector<RelayPeer> peers;
     // Time that relays need beyond their target and the network round trip.
     TimeReserve processingReserve;
     std::function<void(HostId, std::string)> send;
--- a/src/request/scatter.cpp
+++ b/src/request/scatter.cpp
@@ -54,6 +54,10 @@
         ShardPool &pool = *this->pools[shard];
         if (!this->plan.isResend)
             pool.budget().onRequest(now);
+        for (const auto &member : pool.searchers()) {
+            if (member->rateShare().limit(now) && this->isAllowed(shard, *member))
+                member->rateShare().onDemand(now);
+        }
         auto searcher = this->choose(shard, true, now, true);
         if (this->plan.isResend && !pool.budget().trySpend(now))
             searcher.reset();
--- a/src/request/scatterexecutor.cpp
+++ b/src/request/scatterexecutor.cpp
@@ -237,6 +237,10 @@
                   if (const auto locked = weak.lock())
                       this->onStatement(*locked, statement, requestId);
               };
+    static constexpr std::uint64_t tokenSteps = 1000;
+    const std::uint64_t hash = stableHash(registration.id, this->options.seed);
+    target->searcher->rateShare().setInitialTokens(static_cast<double>(hash % tokenSteps)
+                                                   / tokenSteps);
     target->link = std::make_shared<SearcherLink>(this->loop, this->metrics, this->codec,
                                                   registration.id, registration.address,
                                                   std::move(callbacks));
@@ -248,7 +252,7 @@
 void ScatterExecutor::onStatement(const Target &target, const SearcherStatement &statement,
                                   const std::string &requestId)
 {
-    if (!target.searcher->onStatement(statement))
+    if (!target.searcher->onStatement(statement, SteadyClock::now()))
         return;
     std::ostringstream line;
     line << "searcher=" << target.searcher->registration().id << " pool=" << target.pool->name()
@@ -271,6 +275,7 @@
                     1U, static_cast<std::uint32_t>(pool->connectionCap / this->fleetCapacity));
     }
     maxConnections = std::min(maxConnections, maxConnectionsPerSearcher);
+    target.searcher->rateShare().setDefaultPart(1 / this->fleetCapacity);
     target.searcher->setMaxConnections(maxConnections);
     target.link->setMaxConnections(maxConnections);
 }
@@ -353,9 +358,41 @@
     std::erase_if(this->retired, [](const TargetPtr &target) {
         return target->link->isIdle() && target->searcher->openAttempts() == 0;
     });
+    this->reportRates(now);
     this->sweepTimer = this->loop.schedule(now + sweepPeriod, [this] { this->sweep(); });
 }
 
+void ScatterExecutor::reportRates(Millis now)
+{
+    for (const auto &[id, target] : this->targets) {
+        const std::optional<RateReport> report = target->searcher->rateShare().takeReport(now);
+        if (report && this->rateReporter)
+            this->rateReporter(*target->searcher, *report);
+    }
+}
+
+void ScatterExecutor::onRateReport(HostId host, const std::string &searcher,
+                                   const RateReport &report)
+{
+    const auto found = this->targets.find(searcher);
+    if (found == this->targets.end())
+        return;
+    const Millis now = SteadyClock::now();
+    RateShare &share = found->second->searcher->rateShare();
+    const bool wasLimited = share.limit(now).has_value();
+    share.onReport(host, report, now);
+    if (wasLimited == share.limit(now).has_value())
+        return;
+    std::ostringstream line;
+    line << "searcher=" << searcher << " pool=" << found->second->pool->name() << " request_limit=";
+    if (report.limit)
+        line << *report.limit;
+    else
+        line << "none";
+    line << " host=" << host.value << " age_ms=" << static_cast<int>(report.age.count());
+    logEvent(LogEvent::SearcherStatementChanged, line.str());
+}
+
 void ScatterExecutor::onPaused()
 {
     for (const auto &[id, target] : std::map<std::string, TargetPtr, std::less<>>(this->targets))
--- a/src/request/scatterexecutor.h
+++ b/src/request/scatterexecutor.h
@@ -80,6 +80,16 @@
     // searchers' connections are divided by it. Values below one are ignored.
     void setFleetCapacity(double capacity);
 
+    // Sets a function that sends a report on the use of a searcher with a request limit to the
+    // other hosts that may use it.
+    void setRateReporter(std::function<void(const TrackedSearcher &, const RateReport &)> reporter)
+    {
+        this->rateReporter = std::move(reporter);
+    }
+
+    // Handles the report of another host on its use of a searcher, given by its registration id.
+    void onRateReport(HostId host, const std::string &searcher, const RateReport &report);
+
     // The process was paused: fails the attempts that wait for a connection.
     void onPaused();
 
@@ -139,6 +149,8 @@
     RetryBudgetOptions localRetryBudget() const;
     // Closes connections that are not needed and removes searchers that are gone, periodically.
     void sweep();
+    // Reports the use of searchers with a request limit to the other hosts.
+    void reportRates(Millis now);
 
     EventLoop &loop;
     Metrics &metrics;
@@ -154,6 +166,7 @@
     // Searchers that were removed or replaced, until their connections are closed.
     std::vector<TargetPtr> retired;
     TimerId sweepTimer = 0;
+    std::function<void(const TrackedSearcher &, const RateReport &)> rateReporter;
 };
 
 } // namespace quetzal
--- a/src/request/shardpool.cpp
+++ b/src/request/shardpool.cpp
@@ -14,7 +14,7 @@
 static int preferenceTier(const TrackedSearcher &searcher, Millis now)
 {
     const Availability availability = searcher.availability(now);
-    if (availability == Availability::Unavailable)
+    if (availability == Availability::Unavailable || searcher.rateShare().isExhausted(now))
         return 3;
     if (availability == Availability::LastResort)
         return 2;
--- a/src/request/trackedsearcher.cpp
+++ b/src/request/trackedsearcher.cpp
@@ -62,6 +62,7 @@
 void TrackedSearcher::onSent(const AttemptId &attempt, Millis typicalLatency, Millis now)
 {
     this->pendingAttempts.push_back({ attempt, now, typicalLatency });
+    this->sharedRate.onSent(now);
 }
 
 // Returns true if a failure suggests that the searcher is unavailable or faulty.
@@ -130,8 +131,11 @@
     this->loadReceivedAt = now;
 }
 
-bool TrackedSearcher::onStatement(const SearcherStatement &statement)
+bool TrackedSearcher::onStatement(const SearcherStatement &statement, Millis now)
 {
+    if (statement.requestLimit || this->currentStatement.requestLimit
+        || this->sharedRate.limit(now))
+        this->sharedRate.onStatement(statement.requestLimit, now);
     if (statement == this->currentStatement)
         return false;
     this->currentStatement = statement;
--- a/src/request/trackedsearcher.h
+++ b/src/request/trackedsearcher.h
@@ -5,6 +5,7 @@
 #include "quetzal/millis.h"
 #include "quetzal/verdict.h"
 #include "request/attempt.h"
+#include "request/rateshare.h"
 #include "version/searcherdirectory.h"
 
 #include <cstdint>
@@ -41,10 +42,11 @@
     void onLoad(const LoadReport &report, Millis now);
 
     // Records what the searcher states about itself. Returns true if that differs from before.
-    bool onStatement(const SearcherStatement &statement);
+    bool onStatement(const SearcherStatement &statement, Millis now);
 
-    // Returns the latest statement of the searcher about itself.
-    const SearcherStatement &statement() const { return this->currentStatement; }
+    // Returns this host's share of the request rate that the searcher accepts.
+    RateShare &rateShare() { return this->sharedRate; }
+    const RateShare &rateShare() const { return this->sharedRate; }
 
     // Returns the expected latency of an attempt sent now, plus the zone penalty and penalties for
     // recent refusals and a stall. typicalLatency: mean latency of the route.
@@ -102,6 +104,7 @@
     int consecutiveFailures = 0;
     Millis backOffUntil;
     SearcherStatement currentStatement;
+    RateShare sharedRate;
     LoadReport load;
     Millis loadReceivedAt = Millis(-1e9);
 };
--- a/src/version/tablesync.h
+++ b/src/version/tablesync.h
@@ -45,8 +45,8 @@
 // Timeouts and intervals of TableSync.
 struct SyncTimings
 {
-    // Longest time for which the store holds a watch open. A watch that the store has lost is noticed
-    // only after it, so it is a part of the time in which a change may be in force.
+    // Longest time for which the store holds a watch open. A watch that the store has lost is
+    // noticed only after it, so it is a part of the time in which a change may be in force.
     Millis maxWatchWait = Millis(2000);
     // Time between two reads by a host that does not watch the store.
     Millis pollInterval = Millis(60'000);
