Searchers that say they are leaving or want a pause are obeyed

Both are decoded into SearcherStatement beside the request limit, from final, interim and late replies, but not from another searcher at the address. Leaving ends only with the next incarnation: it goes before registrations that still say ready, and is remembered when a registration lapses and comes back. Hosts likely to use the searcher are told at once, by a message that older hosts ignore. A pause makes the searcher unavailable to this host until its end; attempts that wait for a connection go elsewhere as not run. If nothing else can serve a request it is refused with a Retry-After from the earliest end of the pauses needed, spread by request. A paused process forgets pauses, not who is leaving. A Retry-After that is no number of seconds is ignored, one above 60 s is cut.

--- a/src/connection/httpcodec.cpp
+++ b/src/connection/httpcodec.cpp
@@ -11,6 +11,9 @@
 
 // Status "Misdirected Request".
 static constexpr int misdirected = 421;
+static constexpr int serviceUnavailable = 503;
+// Longer pauses that searchers ask for are reduced to this one.
+static constexpr Millis maxPause = Millis(60'000);
 // Longer time-outs of callers are reduced to this one.
 static constexpr double maxTimeoutMs = 3'600'000;
 
@@ -66,8 +69,8 @@
     return Millis(std::min(value, maxTimeoutMs));
 }
 
-// Returns a finite, non-negative number of requests a second, or nothing if the text is malformed.
-static std::optional<double> parseRequestLimit(const std::string &text)
+// Returns a finite, non-negative number, or nothing if the text is malformed.
+static std::optional<double> parseNumber(const std::string &text)
 {
     double value = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -76,6 +79,17 @@
     return isValid ? std::optional(value) : std::nullopt;
 }
 
+// Parses a Retry-After field in seconds, limited to the maximum. A date is ignored, because it
+// would have to be compared with the host's time of day.
+static std::optional<Millis> parsePause(const std::string &text)
+{
+    static constexpr double millisPerSecond = 1000;
+    const std::optional<double> seconds = parseNumber(text);
+    if (!seconds)
+        return std::nullopt;
+    return std::min(maxPause, Millis(*seconds * millisPerSecond));
+}
+
 // Parses "running,waiting,slots".
 static std::optional<LoadReport> parseLoadReport(const std::string &text)
 {
@@ -162,9 +176,27 @@
     return text;
 }
 
+SearcherStatement HttpCodec::decodeStatement(const HttpResponse &response) const
+{
+    static constexpr int statusOk = 200;
+    SearcherStatement statement;
+    statement.isInterim = response.head.getStatus() < statusOk;
+    for (const auto &[name, value] : response.head) {
+        if (equalFieldNames(name, this->names.requestLimit))
+            statement.requestLimit = parseNumber(value);
+        else if (equalFieldNames(name, this->names.leaving))
+            statement.leaving = statement.leaving || value == "1";
+        else if (response.head.getStatus() == serviceUnavailable
+                 && equalFieldNames(name, "Retry-After"))
+            statement.pause = parsePause(value);
+    }
+    return statement;
+}
+
 SearcherReply HttpCodec::decodeReply(HttpResponse &&response, const OutboundRequest &request) const
 {
     SearcherReply reply;
+    reply.statement = this->decodeStatement(response);
     reply.status = response.head.getStatus();
     reply.misdirected = reply.status == misdirected;
     reply.notRun = reply.misdirected;
@@ -178,8 +210,6 @@
             reply.notRun = true;
         if (equalFieldNames(name, this->names.seal))
             reply.seal = value;
-        if (equalFieldNames(name, this->names.requestLimit))
-            reply.statement.requestLimit = parseRequestLimit(value);
         if (equalFieldNames(name, this->names.load)) {
             reply.load = parseLoadReport(value);
             continue;
--- a/src/connection/httpcodec.h
+++ b/src/connection/httpcodec.h
@@ -32,6 +32,8 @@
     // Requests a second that a searcher accepts from all hosts together, in its replies while it
     // does.
     std::string requestLimit = "X-Quetzal-Request-Limit";
+    // Present with the value 1 in a reply of a searcher that is shutting down.
+    std::string leaving = "X-Quetzal-Leaving";
     // Seals of the replies that a merged answer contains.
     std::string partSeals = "X-Quetzal-Parts";
     // Number of shards that are missing from a merged answer.
@@ -76,6 +78,12 @@
 {
     // Requests a second that it accepts from all hosts together, if it limits them.
     std::optional<double> requestLimit;
+    // It is shutting down and wants no new requests from any host.
+    bool leaving = false;
+    // It has refused a request and wants none from this host for this time.
+    std::optional<Millis> pause;
+    // The response was an interim one, so what it does not mention is unknown.
+    bool isInterim = false;
 
     friend bool operator==(const SearcherStatement &, const SearcherStatement &) = default;
 };
@@ -117,6 +125,9 @@
     std::string encodeRequest(const OutboundRequest &request, std::string_view searcher,
                               Millis remaining) const;
 
+    // Returns what a response, interim ones included, states about its searcher.
+    SearcherStatement decodeStatement(const HttpResponse &response) const;
+
     // Returns the reply in a response that was received for the request.
     SearcherReply decodeReply(HttpResponse &&response, const OutboundRequest &request) const;
 
--- a/src/connection/relaymessages.h
+++ b/src/connection/relaymessages.h
@@ -103,8 +103,22 @@
     }
 };
 
+// Tells the receiver that an incarnation of a searcher is leaving.
+struct RelayLeavingReport
+{
+    // Registration id of the searcher, and the start of its process in Unix milliseconds.
+    std::string searcher;
+    std::uint64_t startTimeUnixMs = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->searcher, this->startTimeUnixMs);
+    }
+};
+
 // The type of a relay message; its first byte. Hosts ignore types that they do not know.
-enum class RelayMessageKind : std::uint8_t { Query, Answer, Cancel, RateReport };
+enum class RelayMessageKind : std::uint8_t { Query, Answer, Cancel, RateReport, LeavingReport };
 
 // Encodes a message after a byte with its type.
 template <typename Message>
--- a/src/connection/searcherlink.cpp
+++ b/src/connection/searcherlink.cpp
@@ -200,8 +200,12 @@
         if (!response)
             return;
         const bool interim = response->head.getStatus() < 200;
-        if (interim)
+        if (interim) {
+            this->reportStatement(this->codec.decodeStatement(*response), *connection);
+            if (!connection->work)
+                return;
             continue;
+        }
         if (this->handleReply(connection, std::move(*response)))
             return;
     }
@@ -216,7 +220,10 @@
     if (reply.requestIdMatch == RequestIdMatch::Different) {
         this->metrics.add(Counter::ReplyMismatches);
         connection->reusable = false;
-        return false;
+        // What a late reply does not mention may have begun since.
+        reply.statement.isInterim = true;
+        this->reportStatement(reply.statement, *connection);
+        return !connection->work;
     }
     const std::size_t position = keepAliveField.find("timeout=");
     if (position != std::string::npos) {
@@ -230,17 +237,23 @@
     const Outcome outcome = this->classifyReply(reply);
     if (reply.load && this->callbacks.onLoad)
         this->callbacks.onLoad(*reply.load);
-    if (this->callbacks.onStatement)
-        this->callbacks.onStatement(reply.statement, connection->lastRequestId);
     const bool surplus = connection->reader.hasPartial();
     connection->work.reset();
     const bool valid = connection->reusable && outcome.code != Fault::ReplyMismatch;
     this->release(connection, keepAlive && !surplus && valid);
+    if (!reply.misdirected)
+        this->reportStatement(reply.statement, *connection);
     this->callbacks.onEnd(id, outcome, std::move(reply));
     this->dispatchWaiting();
     return true;
 }
 
+void SearcherLink::reportStatement(const SearcherStatement &statement, const Connection &connection)
+{
+    if (this->callbacks.onStatement)
+        this->callbacks.onStatement(statement, connection.lastRequestId);
+}
+
 Outcome SearcherLink::classifyReply(const SearcherReply &reply) const
 {
     static constexpr int statusOk = 200;
@@ -334,12 +347,12 @@
     this->dispatchWaiting();
 }
 
-void SearcherLink::expireWaiting()
+void SearcherLink::failWaiting(Fault fault)
 {
     std::deque<Work> expired = std::move(this->waiting);
     this->waiting.clear();
     for (const Work &work : expired)
-        this->endAttempt(work.id, Verdict::NotRun, Fault::ProcessPaused, Hop::Entry);
+        this->endAttempt(work.id, Verdict::NotRun, fault, Hop::Entry);
 }
 
 } // namespace quetzal
--- a/src/connection/searcherlink.h
+++ b/src/connection/searcherlink.h
@@ -24,7 +24,8 @@
 {
     std::function<void(const AttemptId &, const Outcome &, SearcherReply &&)> onEnd;
     std::function<void(const LoadReport &)> onLoad;
-    // Called for each reply to a request of this host, with the id of that request.
+    // Called for each response to a request of this host, interim ones included, with the id of
+    // that request. Not called if another searcher answers at the address.
     std::function<void(const SearcherStatement &, const std::string &)> onStatement;
 };
 
@@ -53,8 +54,8 @@
     // Closes connections that have timed out or been idle too long. To be called periodically.
     void sweep(Millis now);
 
-    // Ends all waiting attempts as not run, after a pause of the process.
-    void expireWaiting();
+    // Ends all waiting attempts as not run.
+    void failWaiting(Fault fault);
 
     // Sets the maximum number of open connections. After the searcher has reset a new connection,
     // only one is used for a while: the searcher's own limit counts the connections of all hosts,
@@ -121,6 +122,7 @@
     void onData(const ConnectionPtr &connection, std::string_view data);
     void onClosed(const ConnectionPtr &connection);
     bool handleReply(const ConnectionPtr &connection, HttpResponse &&response);
+    void reportStatement(const SearcherStatement &statement, const Connection &connection);
     Outcome classifyReply(const SearcherReply &reply) const;
     void release(const ConnectionPtr &connection, bool keep);
     void drop(const ConnectionPtr &connection);
--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -32,9 +32,10 @@
 static constexpr Millis relayOverdueDelay = Millis(60);
 // Minimum time left before the deadline for gathering missing parts again.
 static constexpr Millis minRetryTime = Millis(20);
-static constexpr const char *retryAfterSeconds = "0.1";
 // A pool without searchers gets new ones after seconds rather than milliseconds.
-static constexpr const char *emptyPoolRetryAfterSeconds = "1";
+static constexpr Millis emptyPoolRetryAfter = Millis(1000);
+// Longest time over which the return of callers is spread.
+static constexpr Millis maxRetrySpread = Millis(500);
 
 Gateway::Gateway(EventLoop &loop, Metrics &metrics, const HttpCodec &codec, const ServingView &view,
                  ScatterExecutor &scatterExecutor, PartRelay &partRelay, std::string zone)
@@ -66,8 +67,9 @@
         this->refuse(*exchange, statusNotFound, Fault::NoRoute, fields);
         return;
     }
-    if (!route->shardPools.empty() && !this->isMergedServable(*route, now)) {
-        this->refuse(*exchange, statusUnavailable, Fault::PoolEmpty, fields);
+    if (!this->isServable(*route, now)) {
+        this->refuse(*exchange, statusUnavailable, Fault::PoolEmpty, fields,
+                     this->retryAfterEmptyPool(*route, fields.requestId, now));
         return;
     }
     const Millis latestEnd
@@ -79,13 +81,39 @@
     this->begin(exchange, *route, fields, now);
 }
 
-bool Gateway::isMergedServable(const Route &route, Millis now) const
+std::vector<std::shared_ptr<ShardPool>> Gateway::poolsOf(const Route &route) const
 {
     std::vector<std::shared_ptr<ShardPool>> pools;
-    pools.reserve(route.shardPools.size());
     for (const std::string &name : route.shardPools)
         pools.push_back(this->scatterExecutor.pool(name));
-    return isServable(pools, pools.size() - requiredParts(route), now);
+    if (pools.empty() && !route.pool.empty())
+        pools.push_back(this->scatterExecutor.pool(route.pool));
+    return pools;
+}
+
+bool Gateway::isServable(const Route &route, Millis now) const
+{
+    const std::vector<std::shared_ptr<ShardPool>> pools = this->poolsOf(route);
+    if (pools.empty())
+        return true;
+    const Millis at = servableAt(pools, pools.size() - requiredParts(route), now);
+    // Searchers ask each host for a pause of its own, so another host may still gather the parts.
+    const bool isRelayed = !route.shardPools.empty() && this->partRelay.hasPeers();
+    return at <= now || (isRelayed && at != Millis::never());
+}
+
+Millis Gateway::retryAfterEmptyPool(const Route &route, const std::string &requestId,
+                                    Millis now) const
+{
+    static constexpr std::uint64_t spreadSteps = 1000;
+    const std::vector<std::shared_ptr<ShardPool>> pools = this->poolsOf(route);
+    if (pools.empty())
+        return defaultRetryAfter;
+    const Millis wait = servableAt(pools, pools.size() - requiredParts(route), now) - now;
+    if (wait == Millis::never() || wait <= Millis())
+        return route.shardPools.empty() ? defaultRetryAfter : emptyPoolRetryAfter;
+    const double spread = static_cast<double>(stableHash(requestId) % spreadSteps) / spreadSteps;
+    return wait + std::min(wait, maxRetrySpread) * spread;
 }
 
 void Gateway::begin(const std::shared_ptr<HttpExchange> &exchange, const Route &route,
@@ -327,6 +355,8 @@
 {
     // Keeps a product such as 0.55 * 100 = 55.00000000000001 from rounding up to the next integer.
     static constexpr double tolerance = 1e-9;
+    if (route.shardPools.empty())
+        return 1;
     const double exact = route.minCoverage * static_cast<double>(route.shardPools.size());
     return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(exact - tolerance)));
 }
@@ -509,6 +539,14 @@
            + "\"}";
 }
 
+// Formats a time in seconds, with tenths only if there are any.
+static HttpField retryAfterField(Millis time)
+{
+    std::ostringstream seconds;
+    seconds << std::ceil(time.count() / 100) / 10;
+    return { "Retry-After", seconds.str() };
+}
+
 void Gateway::respondFailure(std::uint64_t number)
 {
     RunningRequest &entry = this->running.at(number);
@@ -518,7 +556,7 @@
         entry.lastFailure = Fault::BelowCoverage;
     const std::error_code code = entry.lastFailure;
     int status = statusUnavailable;
-    std::vector<HttpField> fields = { { "Retry-After", retryAfterSeconds } };
+    std::vector<HttpField> fields = { retryAfterField(defaultRetryAfter) };
     if (entry.mayHaveRun) {
         const bool isLate = code == Fault::DeadlinePassed || SteadyClock::now() >= entry.deadline;
         status = isLate ? statusGatewayTimeout : statusBadGateway;
@@ -531,13 +569,13 @@
     this->running.erase(number);
 }
 
-void Gateway::refuse(HttpExchange &exchange, int status, Fault fault, const CallerFields &fields)
+void Gateway::refuse(HttpExchange &exchange, int status, Fault fault, const CallerFields &fields,
+                     Millis retryAfter)
 {
     this->metrics.add(Counter::Refused);
     std::vector<HttpField> extra;
     if (status == statusUnavailable)
-        extra.push_back({ "Retry-After", fault == Fault::PoolEmpty ? emptyPoolRetryAfterSeconds
-                                                                   : retryAfterSeconds });
+        extra.push_back(retryAfterField(retryAfter));
     exchange.respond(status, extra, failureBody(fault, Verdict::NotRun));
     logEvent(LogEvent::RequestRefused,
              "id=" + fields.requestId + " status=" + std::to_string(status)
--- a/src/request/gateway.h
+++ b/src/request/gateway.h
@@ -37,6 +37,8 @@
     std::size_t runningRequests() const { return this->running.size(); }
 
 private:
+    static constexpr Millis defaultRetryAfter = Millis(100);
+
     // Parts of a request that are gathered together, either locally or by one relay.
     struct Batch
     {
@@ -88,8 +90,6 @@
 
     void begin(const std::shared_ptr<HttpExchange> &exchange, const Route &route,
                const CallerFields &fields, Millis now);
-    // Returns true if enough of the route's pools have searchers for a merged answer.
-    bool isMergedServable(const Route &route, Millis now) const;
     // Passes on the reply of one searcher.
     void beginSingle(std::uint64_t number);
     // Merges one part of each of the route's pools.
@@ -123,7 +123,16 @@
     void respondSingle(std::uint64_t number, ScatterAnswer &&answer);
     void respondMerged(std::uint64_t number);
     void respondFailure(std::uint64_t number);
-    void refuse(HttpExchange &exchange, int status, Fault fault, const CallerFields &fields);
+    // retryAfter: when the caller is told to come back; not used if the status is final.
+    void refuse(HttpExchange &exchange, int status, Fault fault, const CallerFields &fields,
+                Millis retryAfter = defaultRetryAfter);
+    // Returns when a caller should come back whose request lacks searchers. Differs between
+    // requests, so that callers do not come back all at once.
+    Millis retryAfterEmptyPool(const Route &route, const std::string &requestId, Millis now) const;
+    // Returns true if enough of the route's pools have searchers that this host or a relay may use.
+    bool isServable(const Route &route, Millis now) const;
+    // Returns the pools that a request on a route may use.
+    std::vector<std::shared_ptr<ShardPool>> poolsOf(const Route &route) const;
     // Returns the time to reserve before a request's target for sending its answer.
     Millis answerReserve() const;
     // Learns how late an answer is sent that was due at its target, and makes the caller's
--- a/src/request/partrelay.cpp
+++ b/src/request/partrelay.cpp
@@ -19,7 +19,7 @@
 static constexpr std::size_t maxLocalParts = 32;
 // Maximum number of parts in one message, so that the message and its answer fit in a datagram.
 static constexpr std::size_t maxPartsPerMessage = 23;
-// Number of hosts that get a report on the use of a searcher, besides those that have sent one.
+// Number of hosts that are told about a searcher, besides those that have reported on it.
 static constexpr std::size_t maxReportReceivers = 24;
 // A running, reachable host acknowledges a message within this time, or within this many round
 // trips if that is longer.
@@ -42,6 +42,8 @@
             [this](const TrackedSearcher &searcher, const RateReport &report) {
                 this->sendRateReport(searcher, report);
             });
+    this->scatterExecutor.setLeavingReporter(
+            [this](const TrackedSearcher &searcher) { this->sendLeavingReport(searcher); });
 }
 
 RouteLatency &PartRelay::routeLatency(const std::string &route)
@@ -266,6 +268,10 @@
         if (const auto report = decode<RelayRateReport>(body))
             this->onRateReport(from, *report);
         break;
+    case RelayMessageKind::LeavingReport:
+        if (const auto report = decode<RelayLeavingReport>(body))
+            this->scatterExecutor.onLeavingReport(from, report->searcher, report->startTimeUnixMs);
+        break;
     }
 }
 
@@ -284,28 +290,43 @@
     this->scatterExecutor.onRateReport(from, message.searcher, report);
 }
 
-void PartRelay::sendRateReport(const TrackedSearcher &searcher, const RateReport &report)
+std::set<HostId> PartRelay::likelyUsers(const TrackedSearcher &searcher) const
 {
-    if (!this->send)
-        return;
-    std::set<HostId> receivers;
-    searcher.rateShare().forEachReporter(SteadyClock::now(),
-                                         [&](HostId host) { receivers.insert(host); });
-    // Hosts that are likely to use the searcher come first: those of its zone with most capacity.
     std::vector<RelayPeer> likely = this->peers;
     std::sort(likely.begin(), likely.end(), [&](const RelayPeer &a, const RelayPeer &b) {
         const std::string &zone = searcher.registration().zone;
         return std::tuple(a.zone != zone, -a.capacity, a.id)
                < std::tuple(b.zone != zone, -b.capacity, b.id);
     });
+    std::set<HostId> users;
     for (std::size_t i = 0; i < std::min(maxReportReceivers, likely.size()); ++i)
-        receivers.insert(likely[i].id);
+        users.insert(likely[i].id);
+    return users;
+}
+
+void PartRelay::sendRateReport(const TrackedSearcher &searcher, const RateReport &report)
+{
+    if (!this->send)
+        return;
+    std::set<HostId> receivers = this->likelyUsers(searcher);
+    searcher.rateShare().forEachReporter(SteadyClock::now(),
+                                         [&](HostId host) { receivers.insert(host); });
     const RelayRateReport message = { searcher.registration().id, report.limit.has_value(),
                                       report.limit.value_or(0), report.age.count(), report.demand };
     for (const HostId host : receivers)
         this->send(host, encodeRelayMessage(RelayMessageKind::RateReport, message));
 }
 
+void PartRelay::sendLeavingReport(const TrackedSearcher &searcher)
+{
+    if (!this->send)
+        return;
+    const RelayLeavingReport message
+            = { searcher.registration().id, searcher.registration().startTimeUnixMs };
+    for (const HostId host : this->likelyUsers(searcher))
+        this->send(host, encodeRelayMessage(RelayMessageKind::LeavingReport, message));
+}
+
 void PartRelay::sendAnswer(HostId to, const RelayAnswer &answer)
 {
     this->send(to, encodeRelayMessage(RelayMessageKind::Answer, answer));
--- a/src/request/partrelay.h
+++ b/src/request/partrelay.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,9 @@
         this->planner.setPeers(newPeers);
     }
 
+    // Returns true if other hosts are alive.
+    bool hasPeers() const { return !this->peers.empty(); }
+
     // Assigns the parts of a route to this host and to relays.
     GatherPlan planGather(const Route &route, Millis now);
 
@@ -144,6 +148,11 @@
     void onCancel(HostId from, const RelayCancel &cancel);
     void sendAnswer(HostId to, const RelayAnswer &answer);
     void onRateReport(HostId from, const RelayRateReport &message);
+    // Returns the hosts that are most likely to use a searcher: those of its zone with most
+    // capacity come first.
+    std::set<HostId> likelyUsers(const TrackedSearcher &searcher) const;
+    // Tells the hosts that may use a searcher that it is leaving.
+    void sendLeavingReport(const TrackedSearcher &searcher);
     // Tells the hosts that may use a searcher with a request limit how much this host uses it.
     void sendRateReport(const TrackedSearcher &searcher, const RateReport &report);
 
--- a/src/request/scatterexecutor.cpp
+++ b/src/request/scatterexecutor.cpp
@@ -15,6 +15,10 @@
 static constexpr double budgetMargin = 0.8;
 // Maximum number of connections from this host to one searcher.
 static constexpr std::uint32_t maxConnectionsPerSearcher = 2;
+// Time for which it is remembered that an incarnation of a searcher is leaving. Without a start
+// time its next incarnation looks the same, so it is tried again sooner.
+static constexpr Millis leavingRetention = Millis(600'000);
+static constexpr Millis unknownStartLeavingTime = Millis(30'000);
 // An attempt that has less than this fraction of the route's typical latency left is not started,
 // as its answer would be too late.
 static constexpr double minServiceShare = 0.7;
@@ -221,6 +225,7 @@
     target->searcher = std::make_shared<TrackedSearcher>(
             registration, isNear ? Millis() : this->options.zoneRoundTrip, now,
             isNear ? Millis() : this->options.zonePenalty);
+    this->applyLeaving(*target->searcher);
     target->pool = this->pool(registration.pool);
     SearcherLinkCallbacks callbacks;
     const std::weak_ptr<Target> weak = target;
@@ -252,17 +257,67 @@
 void ScatterExecutor::onStatement(const Target &target, const SearcherStatement &statement,
                                   const std::string &requestId)
 {
-    if (!target.searcher->onStatement(statement, SteadyClock::now()))
+    const Millis now = SteadyClock::now();
+    const bool isChanged = target.searcher->onStatement(statement, now);
+    if (isChanged) {
+        std::ostringstream line;
+        line << "searcher=" << target.searcher->registration().id << " pool=" << target.pool->name()
+             << " request_limit=";
+        if (statement.requestLimit)
+            line << *statement.requestLimit;
+        else
+            line << "none";
+        line << " leaving=" << statement.leaving
+             << " pause_ms=" << statement.pause.value_or(Millis()).count() << " id=" << requestId;
+        logEvent(LogEvent::SearcherStatementChanged, line.str());
+    }
+    if (statement.leaving && this->markLeaving(target.searcher->registration())
+        && this->leavingReporter)
+        this->leavingReporter(*target.searcher);
+    // Attempts that have not been sent yet go to other searchers.
+    if (statement.leaving || statement.pause)
+        target.link->failWaiting(statement.leaving ? Fault::Draining : Fault::Shed);
+}
+
+bool ScatterExecutor::markLeaving(const SearcherRegistration &registration)
+{
+    const Millis now = SteadyClock::now();
+    std::erase_if(this->leavingSearchers,
+                  [now](const auto &item) { return now >= item.second.until; });
+    const bool hasStartTime = registration.startTimeUnixMs != 0;
+    LeavingSearcher &entry = this->leavingSearchers[registration.id];
+    const bool isNew = entry.startTimeUnixMs != registration.startTimeUnixMs || now >= entry.until;
+    entry.startTimeUnixMs = registration.startTimeUnixMs;
+    if (isNew)
+        entry.until = now + (hasStartTime ? leavingRetention : unknownStartLeavingTime);
+    const auto found = this->targets.find(registration.id);
+    if (found != this->targets.end())
+        this->applyLeaving(*found->second->searcher);
+    return isNew;
+}
+
+void ScatterExecutor::applyLeaving(TrackedSearcher &searcher) const
+{
+    const auto found = this->leavingSearchers.find(searcher.registration().id);
+    if (found != this->leavingSearchers.end()
+        && found->second.startTimeUnixMs == searcher.registration().startTimeUnixMs)
+        searcher.setLeaving(found->second.until);
+}
+
+void ScatterExecutor::onLeavingReport(HostId host, const std::string &searcher,
+                                      std::uint64_t startTimeUnixMs)
+{
+    SearcherRegistration registration;
+    registration.id = searcher;
+    registration.startTimeUnixMs = startTimeUnixMs;
+    if (!this->markLeaving(registration))
         return;
-    std::ostringstream line;
-    line << "searcher=" << target.searcher->registration().id << " pool=" << target.pool->name()
-         << " request_limit=";
-    if (statement.requestLimit)
-        line << *statement.requestLimit;
-    else
-        line << "none";
-    line << " id=" << requestId;
-    logEvent(LogEvent::SearcherStatementChanged, line.str());
+    logEvent(LogEvent::SearcherStatementChanged,
+             "searcher=" + searcher + " leaving=1 host=" + std::to_string(host.value));
+    const auto found = this->targets.find(searcher);
+    if (found != this->targets.end()
+        && found->second->searcher->registration().startTimeUnixMs == startTimeUnixMs)
+        TargetPtr(found->second)->link->failWaiting(Fault::Draining);
 }
 
 void ScatterExecutor::applyMaxConnections(Target &target) const
@@ -395,8 +450,10 @@
 
 void ScatterExecutor::onPaused()
 {
-    for (const auto &[id, target] : std::map<std::string, TargetPtr, std::less<>>(this->targets))
-        target->link->expireWaiting();
+    for (const auto &[id, target] : std::map<std::string, TargetPtr, std::less<>>(this->targets)) {
+        target->searcher->clearPause();
+        target->link->failWaiting(Fault::ProcessPaused);
+    }
 }
 
 } // namespace quetzal
--- a/src/request/scatterexecutor.h
+++ b/src/request/scatterexecutor.h
@@ -90,6 +90,15 @@
     // Handles the report of another host on its use of a searcher, given by its registration id.
     void onRateReport(HostId host, const std::string &searcher, const RateReport &report);
 
+    // Sets a function that tells the other hosts that may use a searcher that it is leaving.
+    void setLeavingReporter(std::function<void(const TrackedSearcher &)> reporter)
+    {
+        this->leavingReporter = std::move(reporter);
+    }
+
+    // Another host has learned that an incarnation of a searcher is leaving.
+    void onLeavingReport(HostId host, const std::string &searcher, std::uint64_t startTimeUnixMs);
+
     // The process was paused: fails the attempts that wait for a connection.
     void onPaused();
 
@@ -106,6 +115,13 @@
     };
     using TargetPtr = std::shared_ptr<Target>;
 
+    // An incarnation of a searcher that is leaving, and until when that is remembered.
+    struct LeavingSearcher
+    {
+        std::uint64_t startTimeUnixMs = 0;
+        Millis until = Millis(-1e9);
+    };
+
     // A request that has not ended.
     struct RunningRequest
     {
@@ -141,6 +157,10 @@
     // Records what a searcher states about itself, in the reply to a request.
     void onStatement(const Target &target, const SearcherStatement &statement,
                      const std::string &requestId);
+    // Remembers that an incarnation of a searcher is leaving. Returns false if that was known.
+    bool markLeaving(const SearcherRegistration &registration);
+    // Stops sending work to a searcher if it is known to be leaving.
+    void applyLeaving(TrackedSearcher &searcher) const;
     // Takes a searcher out of its pool. Its connections close once they are idle.
     void retire(const TargetPtr &target);
     // Sets the number of connections: this host's part of the pool's limit.
@@ -165,7 +185,10 @@
     std::map<std::string, TargetPtr, std::less<>> targets;
     // Searchers that were removed or replaced, until their connections are closed.
     std::vector<TargetPtr> retired;
+    // By registration id. Outlives the searchers' registrations, which may lapse and come back.
+    std::map<std::string, LeavingSearcher, std::less<>> leavingSearchers;
     TimerId sweepTimer = 0;
+    std::function<void(const TrackedSearcher &)> leavingReporter;
     std::function<void(const TrackedSearcher &, const RateReport &)> rateReporter;
 };
 
--- a/src/request/servability.cpp
+++ b/src/request/servability.cpp
@@ -4,13 +4,22 @@
 
 namespace quetzal {
 
+Millis servableAt(const std::vector<std::shared_ptr<ShardPool>> &pools, std::size_t maxMissing,
+                  Millis now)
+{
+    std::vector<Millis> times;
+    times.reserve(pools.size());
+    for (const auto &pool : pools)
+        times.push_back(pool->availableAt(now));
+    std::sort(times.begin(), times.end());
+    const std::size_t needed = times.size() - std::min(times.size(), maxMissing);
+    return needed == 0 ? now : times[needed - 1];
+}
+
 bool isServable(const std::vector<std::shared_ptr<ShardPool>> &pools, std::size_t maxMissing,
                 Millis now)
 {
-    const auto unavailable = std::count_if(pools.begin(), pools.end(), [now](const auto &pool) {
-        return !pool->hasAvailableSearcher(now);
-    });
-    return static_cast<std::size_t>(unavailable) <= maxMissing;
+    return servableAt(pools, maxMissing, now) <= now;
 }
 
 } // namespace quetzal
--- a/src/request/servability.h
+++ b/src/request/servability.h
@@ -18,4 +18,13 @@
 bool isServable(const std::vector<std::shared_ptr<ShardPool>> &pools, std::size_t maxMissing,
                 Millis now);
 
+// Returns from when on a request to the pools of which maxMissing may be missing is expected to be
+// servable: now, or when searchers that asked for a pause may be used again. Never if that is not
+// known.
+//
+// Load pattern: all searchers of a shard refuse requests and name the time after which they want
+// more. Callers that are told the same time come back when it is of use.
+Millis servableAt(const std::vector<std::shared_ptr<ShardPool>> &pools, std::size_t maxMissing,
+                  Millis now);
+
 } // namespace quetzal
--- a/src/request/shardpool.cpp
+++ b/src/request/shardpool.cpp
@@ -61,6 +61,16 @@
     return keys;
 }
 
+Millis ShardPool::availableAt(Millis now) const
+{
+    if (this->hasAvailableSearcher(now))
+        return now;
+    Millis earliest = Millis::never();
+    for (const auto &searcher : this->members)
+        earliest = std::min(earliest, searcher->availableAt(now));
+    return earliest;
+}
+
 bool ShardPool::hasAvailableSearcher(Millis now) const
 {
     return std::any_of(this->members.begin(), this->members.end(), [now](const auto &searcher) {
--- a/src/request/shardpool.h
+++ b/src/request/shardpool.h
@@ -35,6 +35,9 @@
     std::vector<std::uint32_t> bestForZone(const std::string &zone, std::size_t count,
                                            Millis typicalLatency, Millis now) const;
 
+    // Returns from when on work may be sent to some searcher, or never if that is not known.
+    Millis availableAt(Millis now) const;
+
     // Returns true if work may be sent to some searcher.
     bool hasAvailableSearcher(Millis now) const;
 
--- a/src/request/trackedsearcher.cpp
+++ b/src/request/trackedsearcher.cpp
@@ -50,9 +50,16 @@
     this->lastResortUntil = lastResortUntil;
 }
 
+Millis TrackedSearcher::availableAt(Millis now) const
+{
+    const bool isExpected = !this->replaced && now >= this->leavingUntil
+                            && this->currentRegistration.state == SearcherState::Ready;
+    return isExpected ? std::max(now, this->pauseEnd) : Millis::never();
+}
+
 Availability TrackedSearcher::availability(Millis now) const
 {
-    if (this->replaced)
+    if (this->replaced || now < this->leavingUntil || now < this->pauseEnd)
         return Availability::Unavailable;
     if (this->currentRegistration.state == SearcherState::Ready)
         return Availability::Usable;
@@ -133,13 +140,19 @@
 
 bool TrackedSearcher::onStatement(const SearcherStatement &statement, Millis now)
 {
-    if (statement.requestLimit || this->currentStatement.requestLimit
-        || this->sharedRate.limit(now))
+    const bool mentionsLimit = statement.requestLimit || !statement.isInterim;
+    if (mentionsLimit && (statement.requestLimit || this->sharedRate.limit(now)))
         this->sharedRate.onStatement(statement.requestLimit, now);
-    if (statement == this->currentStatement)
-        return false;
-    this->currentStatement = statement;
-    return true;
+    if (statement.pause)
+        this->pauseEnd = std::max(this->pauseEnd, now + *statement.pause);
+    SearcherStatement known;
+    known.requestLimit
+            = mentionsLimit ? statement.requestLimit : this->currentStatement.requestLimit;
+    known.pause = statement.pause;
+    known.leaving = statement.leaving || this->currentStatement.leaving;
+    const bool isChanged = known != this->currentStatement;
+    this->currentStatement = known;
+    return isChanged;
 }
 
 double TrackedSearcher::currentSlowness(Millis now) const
--- a/src/request/trackedsearcher.h
+++ b/src/request/trackedsearcher.h
@@ -44,6 +44,16 @@
     // Records what the searcher states about itself. Returns true if that differs from before.
     bool onStatement(const SearcherStatement &statement, Millis now);
 
+    // Stops sending work to the searcher until a time, because it is shutting down.
+    void setLeaving(Millis until) { this->leavingUntil = until; }
+
+    // Forgets the pause that the searcher asked for, after a pause of this process.
+    void clearPause() { this->pauseEnd = Millis(-1e9); }
+
+    // Returns from when on the searcher is expected to be available: now or when a pause ends.
+    // Never if it is leaving.
+    Millis availableAt(Millis now) const;
+
     // Returns this host's share of the request rate that the searcher accepts.
     RateShare &rateShare() { return this->sharedRate; }
     const RateShare &rateShare() const { return this->sharedRate; }
@@ -94,6 +104,8 @@
     std::uint32_t connectionLimit = 1;
     // Another searcher has answered at this searcher's address.
     bool replaced = false;
+    Millis leavingUntil = Millis(-1e9);
+    Millis pauseEnd = Millis(-1e9);
     std::vector<OpenAttempt> pendingAttempts;
     // Latency relative to the typical one of the route.
     double slowness = 1;
--- a/tests/gatewayprocesstest.cpp
+++ b/tests/gatewayprocesstest.cpp
@@ -40,11 +40,16 @@
                 loop, Poco::Net::SocketAddress("127.0.0.1", 0), HttpServerOptions(),
                 [this, &loop, seal, delay](const std::shared_ptr<HttpExchange> &exchange) {
                     this->requestCount += 1;
+                    if (!this->refusalFields.empty()) {
+                        exchange->respond(503, this->refusalFields, "");
+                        return;
+                    }
                     exchange->setDisconnectHandler([this] { this->cancelledCount += 1; });
-                    const std::vector<HttpField> fields
+                    std::vector<HttpField> fields
                             = { { "X-Quetzal-Seal", seal },
                                 { "X-Quetzal-Request-Id",
                                   exchange->request().head.get("X-Quetzal-Request-Id", "") } };
+                    fields.insert(fields.end(), this->extraFields.begin(), this->extraFields.end());
                     loop.schedule(SteadyClock::now() + delay, [exchange, fields, seal] {
                         exchange->respond(200, fields, std::string(16, seal.front()), "");
                     });
@@ -55,6 +60,10 @@
 
     int requestCount = 0;
     int cancelledCount = 0;
+    // Added to each reply.
+    std::vector<HttpField> extraFields;
+    // If set, every request is refused with these fields.
+    std::vector<HttpField> refusalFields;
 
 private:
     std::shared_ptr<HttpServer> server;
@@ -149,6 +158,8 @@
     FakeSearcher first;
     FakeSearcher second;
     GatewaySettings settings;
+    // Start time of all searchers, as registered.
+    std::uint64_t startTimeUnixMs = 1;
     std::atomic<bool> viewRequested = false;
     std::atomic<bool> viewApplied = false;
     std::atomic<bool> stopRequested = false;
@@ -190,6 +201,7 @@
             registration.address = address;
             registration.zone = "z";
             registration.revision = this->revision;
+            registration.startTimeUnixMs = this->startTimeUnixMs;
             registrations.push_back(registration);
         }
         this->view->applyTables(std::move(tables));
@@ -322,6 +334,52 @@
     CHECK(repeatable->head.getStatus() == 200);
 }
 
+TEST_CASE("a searcher that says it is leaving gets no more requests until its next incarnation")
+{
+    GatewayFixture fixture(Millis(5));
+    fixture.serveView();
+    fixture.first.extraFields = { { "X-Quetzal-Leaving", "1" } };
+    REQUIRE(fixture.get("/one/x"));
+    REQUIRE(fixture.first.requestCount == 1);
+    // A newer listing still says that it is ready.
+    fixture.serveView();
+    const auto refused = fixture.get("/one/y");
+    REQUIRE(refused);
+    CHECK(refused->head.getStatus() == 503);
+    CHECK(refused->body.find("not-run") != std::string::npos);
+    CHECK(fixture.first.requestCount == 1);
+    fixture.startTimeUnixMs = 2;
+    fixture.first.extraFields.clear();
+    fixture.serveView();
+    const auto served = fixture.get("/one/z");
+    REQUIRE(served);
+    CHECK(served->head.getStatus() == 200);
+}
+
+TEST_CASE("a searcher that asks for a pause gets no requests until its end, and callers learn when")
+{
+    GatewayFixture fixture(Millis(5));
+    fixture.serveView();
+    fixture.first.refusalFields = { { "X-Quetzal-Not-Run", "1" }, { "Retry-After", "0.8" } };
+    REQUIRE(fixture.get("/one/x"));
+    fixture.first.refusalFields.clear();
+    REQUIRE(fixture.first.requestCount == 1);
+    const Millis pauseEnd = SteadyClock::now() + Millis(800);
+    for (int i = 0; i < 20; ++i) {
+        const auto refused = fixture.get("/one/y" + std::to_string(i));
+        REQUIRE(refused);
+        CHECK(refused->head.getStatus() == 503);
+        const double retryAfter = std::stod(refused->head.get("Retry-After", "0"));
+        CHECK(retryAfter > 0);
+        CHECK(retryAfter <= 1.4);
+    }
+    CHECK(fixture.first.requestCount == 1);
+    fixture.runUntil([&] { return SteadyClock::now() > pauseEnd; });
+    const auto served = fixture.get("/one/z");
+    REQUIRE(served);
+    CHECK(served->head.getStatus() == 200);
+}
+
 TEST_CASE("when a caller disconnects, its request is cancelled at the searcher")
 {
     GatewayFixture fixture(Millis(1500));
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -419,6 +419,53 @@
         CHECK_MESSAGE(!limitIn(value), value);
 }
 
+TEST_CASE("the pause of a refusal is read in seconds, bounded, and not from other replies")
+{
+    const HttpCodec codec{ HeaderNames() };
+    const auto pauseIn = [&codec](int status, const std::string &value) {
+        HttpResponse response;
+        response.head.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+        response.head.set("Retry-After", value);
+        return codec.decodeStatement(response).pause;
+    };
+    CHECK(pauseIn(503, "2") == Millis(2000));
+    CHECK(pauseIn(503, "0.25") == Millis(250));
+    CHECK(pauseIn(503, "1e12") == Millis(60'000));
+    CHECK_FALSE(pauseIn(429, "2"));
+    for (const char *value : { "", "-1", "soon", "nan", "Fri, 31 Dec 1999 23:59:59 GMT" })
+        CHECK_MESSAGE(!pauseIn(503, value), value);
+}
+
+TEST_CASE("a pause and a leaving searcher are passed over, and the other copy gets the request")
+{
+    ScatterFixture fixture(1);
+    const auto paused = fixture.pools[0]->searchers()[0];
+    const auto other = fixture.pools[0]->searchers()[1];
+    SearcherStatement refusal;
+    refusal.pause = Millis(2000);
+    refusal.requestLimit = 100;
+    paused->onStatement(refusal, Millis(1000));
+    // A shorter pause in a later reply does not shorten it.
+    SearcherStatement shorter;
+    shorter.pause = Millis(10);
+    paused->onStatement(shorter, Millis(1100));
+    CHECK(paused->availability(Millis(2900)) == Availability::Unavailable);
+    CHECK(paused->availability(Millis(3000)) == Availability::Usable);
+    for (int i = 0; i < 50; ++i)
+        CHECK(fixture.pools[0]->choose({}, Millis(30), Millis(1200 + i), true) == other);
+    other->setLeaving(Millis::never());
+    CHECK(fixture.pools[0]->choose({}, Millis(30), Millis(1300), true) == nullptr);
+    CHECK_FALSE(isServable(fixture.pools, 0, Millis(1300)));
+    CHECK(servableAt(fixture.pools, 0, Millis(1300)) == Millis(3000));
+    // A newer registration of the same incarnation changes nothing.
+    SearcherRegistration registration = other->registration();
+    registration.revision += 1;
+    other->update(registration, Millis::never());
+    CHECK(other->availability(Millis(5000)) == Availability::Unavailable);
+    paused->clearPause();
+    CHECK(paused->availability(Millis(1300)) == Availability::Usable);
+}
+
 TEST_CASE("the searcher in the local zone is preferred until it refuses repeatedly")
 {
     ShardPool pool("p", RetryBudgetOptions(), 1);
--- a/tests/relaytest.cpp
+++ b/tests/relaytest.cpp
@@ -1,7 +1,9 @@
 // Tests of the choice of relays and of the requests that a relay accepts.
 #include "quetzal/fault.h"
+#include "quetzal/steadyclock.h"
 #include "request/partrelay.h"
 #include "request/relayplanner.h"
+#include "tests/registrations.h"
 #include "version/codec.h"
 
 #include <algorithm>
@@ -121,3 +123,41 @@
     CHECK(answers[1].refused == Fault::None);
     CHECK(answers[1].seals.size() == 3);
 }
+
+TEST_CASE(
+        "a host that hears from another that a searcher is leaving does not use it, also after its "
+        "registration lapsed")
+{
+    EventLoop loop;
+    Metrics metrics("test");
+    const HttpCodec codec{ HeaderNames() };
+    ServingView view;
+    ScatterExecutor scatterExecutor(loop, metrics, codec, view, ScatterExecutorOptions());
+    view.onChange([&] { scatterExecutor.onViewChanged(); });
+    PartRelay relay(loop, view, scatterExecutor, { { 1 }, "z" }, 1);
+    SearcherRegistration registration = makeRegistration("s", 1);
+    registration.startTimeUnixMs = 40;
+    // The report may arrive before the registration, and names one incarnation.
+    const RelayLeavingReport report = { "s", 40 };
+    relay.onMessage(HostId{ 2 }, encodeRelayMessage(RelayMessageKind::LeavingReport, report));
+    const auto isAvailable = [&] {
+        return scatterExecutor.pool("shard")->hasAvailableSearcher(SteadyClock::now());
+    };
+    view.applyRegistration(registration, SteadyClock::now());
+    CHECK_FALSE(isAvailable());
+    registration.state = SearcherState::Gone;
+    registration.revision = 2;
+    view.applyRegistration(registration, SteadyClock::now());
+    // The executor removes the searcher at its next sweep.
+    const Millis swept = SteadyClock::now() + Millis(120);
+    while (SteadyClock::now() < swept)
+        loop.runOnce();
+    registration.state = SearcherState::Ready;
+    registration.revision = 3;
+    view.applyRegistration(registration, SteadyClock::now());
+    CHECK_FALSE(isAvailable());
+    registration.startTimeUnixMs = 41;
+    registration.revision = 4;
+    view.applyRegistration(registration, SteadyClock::now());
+    CHECK(isAvailable());
+}
--- a/tests/searcherlinktest.cpp
+++ b/tests/searcherlinktest.cpp
@@ -113,6 +113,9 @@
                       if (this->ended.size() >= this->expectedEnds)
                           this->loop.stop();
                   };
+        callbacks.onStatement = [this](const SearcherStatement &statement, const std::string &) {
+            this->statements.push_back(statement);
+        };
         this->link = std::make_shared<SearcherLink>(this->loop, this->metrics, this->codec, "s1",
                                                     this->searcher->address(), callbacks);
         this->link->setMaxConnections(2);
@@ -143,6 +146,7 @@
     std::shared_ptr<ScriptedSearcher> searcher;
     std::shared_ptr<SearcherLink> link;
     std::map<std::uint32_t, AttemptEnd> ended;
+    std::vector<SearcherStatement> statements;
     std::size_t expectedEnds = 1;
     // Called once, after the first attempt has ended.
     std::function<void()> followUp;
@@ -259,6 +263,36 @@
     }
 }
 
+TEST_CASE("what a searcher states about itself is read from interim, late and final replies")
+{
+    const std::string leaving = "X-Quetzal-Leaving: 1\r\n";
+    std::string lateReply = replyFor("older");
+    lateReply.insert(lateReply.find("\r\n") + 2, leaving);
+    std::string reply = replyFor("r0");
+    reply.insert(reply.find("\r\n") + 2, leaving + "X-Quetzal-Request-Limit: 5\r\n");
+    const std::string interim = "HTTP/1.1 102 Processing\r\n" + leaving + "\r\n";
+    for (const auto &[script, count] : std::vector<std::pair<std::string, std::size_t>>{
+                 { reply, 1 }, { interim + reply, 2 }, { lateReply + reply, 2 } }) {
+        LinkFixture fixture({ { script } });
+        fixture.submit(0, "r0");
+        fixture.run(1);
+        REQUIRE(fixture.statements.size() == count);
+        for (const SearcherStatement &statement : fixture.statements)
+            CHECK(statement.leaving);
+        CHECK(fixture.statements.front().isInterim == (count == 2));
+        CHECK(fixture.statements.back().requestLimit == 5.0);
+    }
+}
+
+TEST_CASE("another searcher at the address states nothing about the expected one")
+{
+    LinkFixture fixture(
+            { { "HTTP/1.1 421 Other\r\nX-Quetzal-Leaving: 1\r\nContent-Length: 0\r\n\r\n" } });
+    fixture.submit(0, "r0");
+    fixture.run(1);
+    CHECK(fixture.statements.empty());
+}
+
 TEST_CASE("a connection is reused after a reply")
 {
     LinkFixture fixture({ { replyFor("r0") }, { replyFor("r1") } });
