Statements of searchers: late reports, replaced incarnations, one line for each belief

Found by reading the change again: a late report of an earlier incarnation replaced what was known of a later one, and a reply of a replaced incarnation could mark its successor as leaving; reports of hosts that are gone were kept for ever; replies without a pause were logged as its end.

--- a/src/request/gateway.h
+++ b/src/request/gateway.h
@@ -38,6 +38,9 @@
 
 private:
     static constexpr Millis defaultRetryAfter = Millis(100);
+    // Longest time reserved for sending an answer after its target. An answer that is later did not
+    // wait for its target but for searchers.
+    static constexpr Millis maxTargetReserve = Millis(15);
 
     // Parts of a request that are gathered together, either locally or by one relay.
     struct Batch
--- a/src/request/rateshare.cpp
+++ b/src/request/rateshare.cpp
@@ -135,6 +135,8 @@
     if (!reportsUse && !this->reportsEnd)
         return std::nullopt;
     this->reportedAt = now;
+    std::erase_if(this->peers,
+                  [now](const auto &item) { return now - item.second.at > reportLifetime; });
     return RateReport{ known, age, known ? this->demand(now) : 0 };
 }
 
--- a/src/request/scatterexecutor.cpp
+++ b/src/request/scatterexecutor.cpp
@@ -267,11 +267,13 @@
             line << *statement.requestLimit;
         else
             line << "none";
-        line << " leaving=" << statement.leaving
+        line << " leaving=" << target.searcher->isKnownToLeave()
              << " pause_ms=" << statement.pause.value_or(Millis()).count() << " id=" << requestId;
         logEvent(LogEvent::SearcherStatementChanged, line.str());
     }
-    if (statement.leaving && this->markLeaving(target.searcher->registration())
+    const auto current = this->targets.find(target.searcher->registration().id);
+    const bool isReplaced = current != this->targets.end() && current->second.get() != &target;
+    if (statement.leaving && !isReplaced && this->markLeaving(target.searcher->registration())
         && this->leavingReporter)
         this->leavingReporter(*target.searcher);
     // Attempts that have not been sent yet go to other searchers.
@@ -286,6 +288,9 @@
                   [now](const auto &item) { return now >= item.second.until; });
     const bool hasStartTime = registration.startTimeUnixMs != 0;
     LeavingSearcher &entry = this->leavingSearchers[registration.id];
+    // A late report of an earlier incarnation.
+    if (registration.startTimeUnixMs < entry.startTimeUnixMs)
+        return false;
     const bool isNew = entry.startTimeUnixMs != registration.startTimeUnixMs || now >= entry.until;
     entry.startTimeUnixMs = registration.startTimeUnixMs;
     if (isNew)
--- a/src/request/trackedsearcher.cpp
+++ b/src/request/trackedsearcher.cpp
@@ -141,18 +141,18 @@
 bool TrackedSearcher::onStatement(const SearcherStatement &statement, Millis now)
 {
     const bool mentionsLimit = statement.requestLimit || !statement.isInterim;
-    if (mentionsLimit && (statement.requestLimit || this->sharedRate.limit(now)))
-        this->sharedRate.onStatement(statement.requestLimit, now);
+    const bool isLimitChanged = mentionsLimit && statement.requestLimit != this->statedLimit;
+    if (mentionsLimit) {
+        this->statedLimit = statement.requestLimit;
+        if (statement.requestLimit || this->sharedRate.limit(now))
+            this->sharedRate.onStatement(statement.requestLimit, now);
+    }
+    const bool beginsLeaving = statement.leaving && !this->statedLeaving;
+    this->statedLeaving = this->statedLeaving || statement.leaving;
+    const bool beginsPause = statement.pause && now >= this->pauseEnd;
     if (statement.pause)
         this->pauseEnd = std::max(this->pauseEnd, now + *statement.pause);
-    SearcherStatement known;
-    known.requestLimit
-            = mentionsLimit ? statement.requestLimit : this->currentStatement.requestLimit;
-    known.pause = statement.pause;
-    known.leaving = statement.leaving || this->currentStatement.leaving;
-    const bool isChanged = known != this->currentStatement;
-    this->currentStatement = known;
-    return isChanged;
+    return isLimitChanged || beginsLeaving || beginsPause;
 }
 
 double TrackedSearcher::currentSlowness(Millis now) const
--- a/src/request/trackedsearcher.h
+++ b/src/request/trackedsearcher.h
@@ -9,6 +9,7 @@
 #include "version/searcherdirectory.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace quetzal {
@@ -41,9 +42,13 @@
     // Records the searcher's report of its load.
     void onLoad(const LoadReport &report, Millis now);
 
-    // Records what the searcher states about itself. Returns true if that differs from before.
+    // Records what the searcher states about itself. Returns true if that differs from before, or
+    // if a pause begins.
     bool onStatement(const SearcherStatement &statement, Millis now);
 
+    // Returns true if the searcher has stated that it is leaving.
+    bool isKnownToLeave() const { return this->statedLeaving; }
+
     // Stops sending work to the searcher until a time, because it is shutting down.
     void setLeaving(Millis until) { this->leavingUntil = until; }
 
@@ -115,7 +120,9 @@
     Millis refusalRateAt;
     int consecutiveFailures = 0;
     Millis backOffUntil;
-    SearcherStatement currentStatement;
+    // What the searcher has stated about itself.
+    std::optional<double> statedLimit;
+    bool statedLeaving = false;
     RateShare sharedRate;
     LoadReport load;
     Millis loadReceivedAt = Millis(-1e9);
--- a/src/version/viewfreshness.h
+++ b/src/version/viewfreshness.h
@@ -60,7 +60,7 @@
     Millis pausedUntil = Millis(-1e9);
     // When the source was last asked anew because of a doubt.
     Millis doubtedAt = Millis(-1e9);
-    // The age of the view, as a time, that was last confirmed to the other hosts.
+    // The time up to which the view was last confirmed to the other hosts.
     Millis announcedAt = Millis(-1e9);
 };
 
--- a/tests/relaytest.cpp
+++ b/tests/relaytest.cpp
@@ -160,4 +160,12 @@
     registration.revision = 4;
     view.applyRegistration(registration, SteadyClock::now());
     CHECK(isAvailable());
+    // A late report of the earlier incarnation does not hide that the later one is leaving.
+    const RelayLeavingReport later = { "s", 41 };
+    relay.onMessage(HostId{ 2 }, encodeRelayMessage(RelayMessageKind::LeavingReport, later));
+    CHECK_FALSE(isAvailable());
+    relay.onMessage(HostId{ 3 }, encodeRelayMessage(RelayMessageKind::LeavingReport, report));
+    registration.revision = 5;
+    view.applyRegistration(registration, SteadyClock::now());
+    CHECK_FALSE(isAvailable());
 }
