--- a/apps/quetzal_standin.cpp
+++ b/apps/quetzal_standin.cpp
@@ -28,6 +28,11 @@
 ABSL_FLAG(std::uint64_t, documents, 100000, "searchers: number of documents in each pool's index");
 ABSL_FLAG(double, service_ms, 8, "searchers: median service time; records: service time");
 ABSL_FLAG(double, straggler_fraction, 0.01, "searchers, records: fraction of slow requests");
+ABSL_FLAG(double, request_limit, 0,
+          "records: requests a second that each searcher says it accepts, if above 0");
+ABSL_FLAG(bool, leaving, false, "records: the searchers say that they are leaving");
+ABSL_FLAG(double, pause_ms, 0,
+          "records: pause that a searcher with a full queue asks for, if above 0");
 ABSL_FLAG(double, cold_ms, 0, "searchers: time after a start during which requests are slow");
 ABSL_FLAG(double, delay_ms, 4, "link: one-way delay");
 ABSL_FLAG(double, jitter_ms, 0.5, "link: maximum random delay added to each datagram");
@@ -114,6 +119,11 @@
     quetzal::RecordBehaviour behaviour;
     behaviour.serviceTime = quetzal::Millis(absl::GetFlag(FLAGS_service_ms));
     behaviour.stragglerFraction = absl::GetFlag(FLAGS_straggler_fraction);
+    if (absl::GetFlag(FLAGS_request_limit) > 0)
+        behaviour.statement.requestLimit = absl::GetFlag(FLAGS_request_limit);
+    behaviour.statement.leaving = absl::GetFlag(FLAGS_leaving);
+    if (absl::GetFlag(FLAGS_pause_ms) > 0)
+        behaviour.statement.pause = quetzal::Millis(absl::GetFlag(FLAGS_pause_ms));
     const quetzal::RecordStandin searchers(loop, quetzal::HeaderNames(), parsed.value.searchers,
                                            behaviour, absl::GetFlag(FLAGS_seed));
     loop.run();
--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -64,7 +64,7 @@
         peers.reserve(alive.size());
         for (const MemberInfo &member : alive)
             peers.push_back({ member.id, member.zone, member.capacity });
-        this->partRelay.setPeers(std::move(peers));
+        this->partRelay.setPeers(peers);
     };
     hooks.onStandbyChanged = [this](bool standby) { this->feed->setStandby(standby); };
     hooks.onMessage = [this](HostId from, const std::string &payload) {
--- a/standins/recordstandin.cpp
+++ b/standins/recordstandin.cpp
@@ -33,16 +33,27 @@
 std::vector<HttpField> RecordStandin::replyFields(const Instance &instance,
                                                   const HttpExchange &exchange) const
 {
-    return { { this->names.requestId, exchange.request().head.get(this->names.requestId, "") },
-             { this->names.load, std::to_string(instance.runningCount) + ","
-                                         + std::to_string(instance.queue.size()) + ","
-                                         + std::to_string(instance.registration.slots) } };
+    std::vector<HttpField> fields
+            = { { this->names.requestId, exchange.request().head.get(this->names.requestId, "") },
+                { this->names.load, std::to_string(instance.runningCount) + ","
+                                            + std::to_string(instance.queue.size()) + ","
+                                            + std::to_string(instance.registration.slots) } };
+    const SearcherStatement &statement = this->behaviour.statement;
+    if (statement.requestLimit)
+        fields.push_back({ this->names.requestLimit, std::to_string(*statement.requestLimit) });
+    if (statement.leaving)
+        fields.push_back({ this->names.leaving, "1" });
+    return fields;
 }
 
 void RecordStandin::refuse(const Instance &instance, HttpExchange &exchange, int status) const
 {
     std::vector<HttpField> fields = this->replyFields(instance, exchange);
     fields.push_back({ this->names.notRun, "1" });
+    static constexpr double millisPerSecond = 1000;
+    if (status == statusUnavailable && this->behaviour.statement.pause)
+        fields.push_back({ "Retry-After", std::to_string(this->behaviour.statement.pause->count()
+                                                         / millisPerSecond) });
     exchange.respond(status, fields, "");
 }
 
--- a/standins/recordstandin.h
+++ b/standins/recordstandin.h
@@ -23,6 +23,9 @@
     double stragglerFraction = 0.01;
     // Number of records in a reply.
     std::size_t recordsPerReply = 20;
+    // What each reply states about its searcher. A pause is only stated by refusals of a full
+    // queue.
+    SearcherStatement statement;
 };
 
 // Listens on the address of each registration. A reply carries a seal (a searcher's signature of
--- a/tests/searcherlinktest.cpp
+++ b/tests/searcherlinktest.cpp
@@ -2,6 +2,7 @@
 // and the reuse of connections.
 #include "connection/searcherlink.h"
 #include "quetzal/steadyclock.h"
+#include "standins/recordstandin.h"
 
 #include <map>
 #include <utility>
@@ -284,6 +285,55 @@
     }
 }
 
+TEST_CASE("the stand-in of searchers states what its settings say")
+{
+    EventLoop loop;
+    Metrics metrics{ "test" };
+    const HttpCodec codec{ HeaderNames() };
+    RecordBehaviour behaviour;
+    behaviour.statement.requestLimit = 12.5;
+    behaviour.statement.leaving = true;
+    behaviour.statement.pause = Millis(1500);
+    SearcherRegistration registration;
+    registration.id = "s1";
+    const Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", 0));
+    registration.address = probe.address().toString();
+    probe.impl()->close();
+    const RecordStandin standin(loop, HeaderNames(), { registration }, behaviour, 1);
+    std::vector<SearcherStatement> statements;
+    SearcherLinkCallbacks callbacks;
+    static constexpr std::uint32_t attemptCount = 40;
+    std::uint32_t ended = 0;
+    callbacks.onEnd = [&](const AttemptId &, const Outcome &, SearcherReply &&) { ended += 1; };
+    callbacks.onStatement = [&](const SearcherStatement &statement, const std::string &) {
+        statements.push_back(statement);
+    };
+    const auto link = std::make_shared<SearcherLink>(loop, metrics, codec, "s1",
+                                                     registration.address, callbacks);
+    link->setMaxConnections(attemptCount);
+    for (std::uint32_t ordinal = 0; ordinal < attemptCount; ++ordinal) {
+        const auto request = std::make_shared<OutboundRequest>();
+        request->method = "GET";
+        request->target = "/a";
+        request->requestId = "r" + std::to_string(ordinal);
+        request->forwardedFields = "X-Quetzal-Request-Id: " + request->requestId + "\r\n";
+        link->submit({ { 1 }, ordinal }, request, SteadyClock::now() + Millis(2000));
+    }
+    const Millis until = SteadyClock::now() + Millis(2000);
+    while (ended < attemptCount && SteadyClock::now() < until)
+        loop.runOnce();
+    REQUIRE(ended == attemptCount);
+    std::size_t pauses = 0;
+    for (const SearcherStatement &statement : statements) {
+        CHECK(statement.requestLimit == 12.5);
+        CHECK(statement.leaving);
+        pauses += statement.pause == Millis(1500);
+    }
+    CHECK(statements.size() == attemptCount);
+    CHECK(pauses > 0);
+    CHECK(pauses < attemptCount);
+}
+
 TEST_CASE("another searcher at the address states nothing about the expected one")
 {
     LinkFixture fixture(
