--- a/bench/virtual/virtualgateways.cpp
+++ b/bench/virtual/virtualgateways.cpp
@@ -270,6 +270,8 @@
     if (actions.answer) {
         request->done = true;
         this->recordAnswer(*request, *actions.answer);
+        // Jobs that are still under way own the request.
+        request->jobs.clear();
         return;
     }
     if (request->scatter->nextTimer() < Millis::never())
