--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -473,8 +473,19 @@
 void Searcher::serve(Connection &connection)
 {
     static constexpr double idleMs = 30'000;
-    while (const auto request = connection.read(idleMs))
-        this->handle(connection, *request);
+    bool isOneTooMany = false;
+    {
+        const std::lock_guard lock(this->mutex);
+        isOneTooMany = ++this->connectionCount > this->settings.maxConns;
+    }
+    if (isOneTooMany) {
+        connection.resetOnClose();
+    } else {
+        while (const auto request = connection.read(idleMs))
+            this->handle(connection, *request);
+    }
+    const std::lock_guard lock(this->mutex);
+    this->connectionCount -= 1;
 }
 
 void Searcher::handle(Connection &connection, const Message &request)
@@ -497,7 +508,9 @@
     }
     if (!this->takeSlot()) {
         this->finish(index, 503);
-        connection.write(httpAnswer(503, echo + "Quetzalchute-Not-Executed: 1\r\n", ""));
+        const std::string refusal = httpAnswer(503, echo + "Quetzalchute-Not-Executed: 1\r\n", "");
+        if (!this->answerHook || !this->answerHook(connection, id, refusal))
+            connection.write(refusal);
         return;
     }
     const double startedAt = nowMs();
@@ -547,6 +560,7 @@
     answer.endedAt = nowMs();
     if (reply) {
         answer.status = reply->status();
+        answer.closes = reply->field("connection") == "close";
         answer.seal = reply->field("quetzalchute-response-seal");
         answer.body = reply->body;
     }
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -163,6 +163,8 @@
     std::string zone = "kigali-a";
     int slots = 2;
     int queue = 8;
+    // Connections beyond this number are reset.
+    int maxConns = 110;
     // Service time of a request.
     double workMs = 160;
 };
@@ -218,6 +220,7 @@
     std::condition_variable slotFreed;
     int running = 0;
     int waiting = 0;
+    int connectionCount = 0;
     bool ended = false;
     std::uint64_t sealCount = 0;
     std::vector<Arrival> arrivalList;
@@ -232,6 +235,8 @@
     double endedAt = 0;
     // 0 if the connection ended or the time was over without an answer.
     int status = 0;
+    // The gateway closes the connection after this answer.
+    bool closes = false;
     std::string seal;
     std::string body;
 };
