--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -169,6 +169,13 @@
     return message;
 }
 
+std::string Connection::receive()
+{
+    char bytes[65'536];
+    const ssize_t count = ::recv(this->fd, bytes, sizeof(bytes), 0);
+    return count > 0 ? std::string(bytes, static_cast<std::size_t>(count)) : "";
+}
+
 bool Connection::write(const std::string &bytes) const
 {
     std::size_t done = 0;
@@ -350,6 +357,7 @@
 std::string Store::range(const std::string &prefix, const std::string &after)
 {
     const std::lock_guard lock(this->mutex);
+    this->listingCount += 1;
     std::string list;
     for (const auto &[key, item] : this->items) {
         if (item.deleted || !key.starts_with(prefix) || key <= after)
@@ -725,6 +733,70 @@
     return this->pid == 0;
 }
 
+StoreLink::StoreLink(const Address &address, Address store)
+    : store(std::move(store))
+{
+    this->server = std::make_unique<Server>(
+            address, [this](Connection &connection) { this->serve(connection); });
+}
+
+void StoreLink::serve(Connection &connection)
+{
+    static constexpr double connectMs = 1000;
+    const auto onward = Connection::open(this->store, connectMs);
+    if (!onward)
+        return;
+    std::thread back([&] {
+        for (std::string bytes = onward->receive(); !bytes.empty(); bytes = onward->receive()) {
+            sleepMs(this->delay.exchange(0));
+            if (!connection.write(bytes))
+                break;
+        }
+        connection.shut();
+    });
+    for (std::string bytes = connection.receive(); !bytes.empty(); bytes = connection.receive()) {
+        if (!onward->write(bytes))
+            break;
+    }
+    onward->shut();
+    back.join();
+}
+
+DatagramLink::DatagramLink(const Address &address, Address target)
+    : fd(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0))
+    , target(std::move(target))
+{
+    const sockaddr_in bound = socketAddress(address);
+    if (::bind(this->fd, reinterpret_cast<const sockaddr *>(&bound), sizeof(bound)) != 0)
+        throw std::runtime_error("cannot bind " + address.text());
+    this->thread = std::thread([this] { this->run(); });
+}
+
+DatagramLink::~DatagramLink()
+{
+    this->stopping = true;
+    this->thread.join();
+    ::close(this->fd);
+}
+
+void DatagramLink::run()
+{
+    const sockaddr_in to = socketAddress(this->target);
+    while (!this->stopping) {
+        pollfd waited = { this->fd, POLLIN, 0 };
+        if (::poll(&waited, 1, 20) <= 0)
+            continue;
+        char bytes[65'536];
+        const ssize_t count = ::recv(this->fd, bytes, sizeof(bytes), 0);
+        if (count <= 0)
+            continue;
+        if (nowMs() < this->cutUntil)
+            continue;
+        ::sendto(this->fd, bytes, static_cast<std::size_t>(count), 0,
+                 reinterpret_cast<const sockaddr *>(&to), sizeof(to));
+    }
+}
+
 int freePorts(const std::string &ip, int count)
 {
     const int first = 20'000 + static_cast<int>(::getpid()) % 200 * 50;
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -80,6 +80,8 @@
     bool write(const std::string &bytes) const;
     // True if the peer has closed or reset the connection.
     bool isPeerGone() const;
+    // Receives bytes as they come; an empty text at the end of the stream.
+    std::string receive();
     // Ends the connection for both sides; a blocked read returns.
     void shut() const;
     // Makes close send a reset.
@@ -132,6 +134,8 @@
     double put(const std::string &key, const std::string &value);
     // Removes a key and returns the time of the acknowledgement.
     double remove(const std::string &key);
+    // Returns the number of listings that were evaluated.
+    int listings() const { return this->listingCount; }
     void stop();
 
 private:
@@ -150,6 +154,7 @@
     std::condition_variable changed;
     bool stopping = false;
     std::uint64_t revision = 100;
+    std::atomic<int> listingCount = 0;
     std::map<std::string, Item> items;
     std::unique_ptr<Server> server;
 };
@@ -279,6 +284,7 @@
     Address callers() const { return { this->ip, this->basePort }; }
     Address ready() const { return { this->ip, this->basePort + 1 }; }
     Address view() const { return { this->ip, this->basePort + 2 }; }
+    Address heartbeat() const { return { this->ip, this->basePort + 3 }; }
 
 private:
     std::string settingsText(const Address &store, const std::vector<Address> &seeds) const;
@@ -290,6 +296,45 @@
     pid_t pid = 0;
 };
 
+// One host's link to the store. It passes bytes on; after holdUp() was called, the next bytes from
+// the store arrive late, like a segment that was sent into a cut and has to be sent again.
+class StoreLink
+{
+public:
+    StoreLink(const Address &address, Address store);
+
+    void holdUp(double lateMs) { this->delay = lateMs; }
+
+private:
+    void serve(Connection &connection);
+
+    Address store;
+    std::atomic<double> delay = 0;
+    std::unique_ptr<Server> server;
+};
+
+// Passes datagrams on to another address, unless it is cut.
+class DatagramLink
+{
+public:
+    DatagramLink(const Address &address, Address target);
+    ~DatagramLink();
+    DatagramLink(const DatagramLink &) = delete;
+    DatagramLink &operator=(const DatagramLink &) = delete;
+
+    // Drops all datagrams for a time.
+    void cut(double time) { this->cutUntil = nowMs() + time; }
+
+private:
+    void run();
+
+    int fd = -1;
+    Address target;
+    std::atomic<double> cutUntil = 0;
+    std::atomic<bool> stopping = false;
+    std::thread thread;
+};
+
 // Returns a port so that this one and the next count ports are free on an address.
 int freePorts(const std::string &ip, int count);
 
