Tables hold workspaces; events, counters and header names for them

Prepares the parts described in docs/design: the tables get workspaces with digests of their keys, routes that need no key, and the rate that a pool's cold searchers accept. The events and counters of these parts are numbered and listed once, so that the parts can be built beside each other. No behaviour changes.

--- a/src/connection/httpcodec.h
+++ b/src/connection/httpcodec.h
@@ -38,6 +38,10 @@
     std::string partSeals = "X-Quetzal-Parts";
     // Number of shards that are missing from a merged answer.
     std::string missingParts = "X-Quetzal-Missing-Parts";
+    // Name of the workspace that the caller's key belongs to, set by the host for searchers.
+    std::string workspace = "X-Quetzal-Workspace";
+    // Milliseconds for which a searcher stays cold, in its replies to status checks.
+    std::string coldTime = "X-Quetzal-Cold-Ms";
 };
 
 // The header fields of a caller's request.
--- a/src/process/eventlog.h
+++ b/src/process/eventlog.h
@@ -65,6 +65,24 @@
     ViewDoubted,
     // A searcher states something else about itself than before.
     SearcherStatementChanged,
+    // A registration with invalid fields is not used.
+    RegistrationDropped,
+    // The operators asked that nothing is sent to a zone's searchers, or took that back.
+    ZoneEvacuated,
+    ZoneRestored,
+    // An entry of the tables is not used; the others are.
+    TableEntryDropped,
+    // A workspace's allowance is used up, or there is room again.
+    AllowanceExhausted,
+    AllowanceAvailable,
+    // No keeper of an allowance answers, or one does again.
+    AllowanceUnconfirmed,
+    AllowanceConfirmed,
+    // A connection was closed because its peer exceeds a limit.
+    ConnectionLimited,
+    // The memory held for connections exceeds its limit, or no longer does.
+    MemoryLimited,
+    MemoryRelieved,
 };
 
 // Severity of an event.
@@ -79,7 +97,7 @@
 };
 
 // Indexed by LogEvent.
-inline constexpr std::array<LogEventInfo, 44> logEvents = { {
+inline constexpr std::array<LogEventInfo, 55> logEvents = { {
         { 1001, "started", LogLevel::Info },
         { 1002, "ready", LogLevel::Info },
         { 1003, "not-ready", LogLevel::Warning },
@@ -124,6 +142,17 @@
         { 1109, "view-confirmed", LogLevel::Info },
         { 1110, "view-doubted", LogLevel::Info },
         { 2110, "searcher-statement", LogLevel::Info },
+        { 1111, "registration-dropped", LogLevel::Warning },
+        { 2111, "zone-evacuated", LogLevel::Warning },
+        { 2112, "zone-restored", LogLevel::Info },
+        { 1112, "table-entry-dropped", LogLevel::Error },
+        { 2401, "allowance-exhausted", LogLevel::Info },
+        { 2402, "allowance-available", LogLevel::Info },
+        { 2403, "allowance-unconfirmed", LogLevel::Warning },
+        { 2404, "allowance-confirmed", LogLevel::Info },
+        { 2501, "connection-limited", LogLevel::Warning },
+        { 2502, "memory-limited", LogLevel::Warning },
+        { 2503, "memory-relieved", LogLevel::Info },
 } };
 
 // Sends log lines to a file, or to standard error if the path is empty.
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -42,10 +42,17 @@
     ReplyMismatches,
     Connects,
     Pauses,
+    // Requests refused because no known key came with them.
+    KeyRefusals,
+    // Requests refused because their workspace's allowance was used up.
+    AllowanceRefusals,
+    // Connections closed because their peers exceeded a limit, and pauses of reading from one.
+    LimitedConnections,
+    ReadPauses,
 };
 
 // Metric names in the order of the enumerators, without the prefix "quetzal_".
-inline constexpr std::array<std::string_view, 18> counterNames = {
+inline constexpr std::array<std::string_view, 22> counterNames = {
     "requests_total",
     "answered_total",
     "refused_total",
@@ -64,6 +71,10 @@
     "reply_mismatches_total",
     "connects_total",
     "pauses_total",
+    "key_refusals_total",
+    "allowance_refusals_total",
+    "limited_connections_total",
+    "read_pauses_total",
 };
 
 // Durations that are measured, in milliseconds.
--- a/src/version/routingtables.h
+++ b/src/version/routingtables.h
@@ -100,6 +100,8 @@
     // Order of precedence among the routes that share pools; 0 comes first. Stored and shown to
     // operators; requests are not ordered by it.
     std::uint32_t rank = 0;
+    // True if callers need no key, even if the tables hold workspaces.
+    bool anonymous = false;
 
     friend bool operator==(const Route &, const Route &) = default;
 
@@ -112,7 +114,7 @@
         double deadlineMs = this->deadline.count();
         archive(targetMs, deadlineMs, this->minCoverage, this->belowMinimum, this->priority);
         archive(this->shardPools, this->trafficSplit, this->maxAttempts, this->resultSize,
-                this->rank);
+                this->rank, this->anonymous);
         this->targetLatency = Millis(targetMs);
         this->deadline = Millis(deadlineMs);
     }
@@ -159,28 +161,58 @@
     std::vector<Searcher> searchers;
     // Connections that each registered searcher accepts from all hosts together.
     std::uint32_t connectionCap = 1;
+    // Requests a second that each of its searchers accepts while it is cold; 0 for no limit.
+    double warmupRate = 0;
 
     friend bool operator==(const Pool &, const Pool &) = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->name, this->shards, this->searchers, this->connectionCap);
+        archive(this->name, this->shards, this->searchers, this->connectionCap, this->warmupRate);
     }
 };
 
-// Routes and pools at one revision. Immutable once published.
+// SHA-256 digest of a caller's key. Keys themselves are in no table and in no message.
+using KeyDigest = std::array<std::uint8_t, 32>;
+
+// Callers that share keys, a priority and an allowance.
+struct Workspace
+{
+    std::string name;
+    std::vector<KeyDigest> keys;
+    // Order of precedence, before that of routes; 0 comes first.
+    std::uint32_t rank = 0;
+    // Requests a second, and requests at once beyond them, that all hosts together accept; a rate
+    // of 0 means no limit.
+    double allowedRate = 0;
+    double allowedBurst = 0;
+
+    friend bool operator==(const Workspace &, const Workspace &) = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->name, this->keys, this->rank, this->allowedRate, this->allowedBurst);
+    }
+};
+
+// Routes, pools and workspaces at one revision. Immutable once published.
 struct RoutingTables
 {
     Revision revision;
     std::vector<Route> routes;
     std::vector<Pool> pools;
     CallerLimits limits;
+    // True if callers need a key on routes that are not anonymous.
+    bool requiresKeys = false;
+    std::vector<Workspace> workspaces;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->revision, this->routes, this->pools, this->limits);
+        archive(this->revision, this->routes, this->pools, this->limits, this->requiresKeys,
+                this->workspaces);
     }
 
     // Returns the matching route with the longest path prefix, or nullptr. Among equal prefixes one
