Callers are their keys: unknown ones are refused, searchers get the workspace

A request on a route that is not anonymous needs exactly one known bearer key; otherwise it is refused with 401 before any work is done, or with 503 while nothing confirms the tables. The key and any workspace that the caller states are not forwarded. Registrations with a host name as address are left out too, as resolving one would block the event loop. The fourth figure of a load report is read; it made the whole report unreadable before.

--- a/fuzz/decoders.cpp
+++ b/fuzz/decoders.cpp
@@ -75,6 +75,7 @@
 void decodeBytes(Decoder decoder, const std::string &bytes)
 {
     std::string error;
+    std::vector<std::string> problems;
     switch (decoder) {
     case Decoder::CallerRequest:
         return readRequests(bytes);
@@ -83,9 +84,10 @@
     case Decoder::StorePage:
         return static_cast<void>(platform::readPage(bytes));
     case Decoder::Tables:
-        return static_cast<void>(platform::readTables(bytes, error));
+        return static_cast<void>(platform::readTables(bytes, error, problems));
     case Decoder::Registration:
-        return static_cast<void>(platform::readRegistration({ "servers/i", bytes, 1, false }));
+        return static_cast<void>(
+                platform::readRegistration({ "servers/i", bytes, 1, false }, error));
     case Decoder::TableFiles:
         static_cast<void>(parseTables("r", routesSample, "p", bytes));
         return static_cast<void>(parseTables("r", bytes, "p", poolsSample));
--- a/include/quetzal/fault.h
+++ b/include/quetzal/fault.h
@@ -55,10 +55,16 @@
     StoreUnavailable,
     Conflict,
     Invalid,
+    // The request has no key, or one that no workspace has.
+    UnknownKey,
+    // Nothing has shown for some time that the routing tables are current.
+    ViewUnconfirmed,
+    // The workspace of the request has used up its allowance.
+    AllowanceExhausted,
 };
 
 // Names in the order of the enumerators, as written to log lines and responses.
-inline constexpr std::array<std::string_view, 29> faultNames = {
+inline constexpr std::array<std::string_view, 32> faultNames = {
     "none",
     "no-route",
     "bad-request",
@@ -88,6 +94,9 @@
     "store-unavailable",
     "conflict",
     "invalid",
+    "unknown-key",
+    "view-unconfirmed",
+    "allowance-exhausted",
 };
 
 // Returns the error category of Fault.
--- a/src/connection/httpcodec.cpp
+++ b/src/connection/httpcodec.cpp
@@ -90,7 +90,20 @@
     return std::min(maxPause, Millis(*seconds * millisPerSecond));
 }
 
-// Parses "running,waiting,slots".
+// Returns the fourth figure of a load report, a percentage, as a factor; 1 if it is not plausible.
+static double parseSlowness(std::string_view text)
+{
+    static constexpr unsigned minPercent = 10;
+    static constexpr unsigned maxPercent = 10'000;
+    static constexpr double percent = 100;
+    unsigned value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isValid = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size()
+                         && value >= minPercent && value <= maxPercent;
+    return isValid ? value / percent : 1;
+}
+
+// Parses "running,waiting,slots" or "running,waiting,slots,percent".
 static std::optional<LoadReport> parseLoadReport(const std::string &text)
 {
     std::array<std::uint32_t, 3> numbers = {};
@@ -99,12 +112,15 @@
     for (std::size_t i = 0; i < numbers.size(); ++i) {
         const auto parsed = std::from_chars(position, end, numbers[i]);
         const bool last = i + 1 == numbers.size();
-        if (parsed.ec != std::errc() || (last ? parsed.ptr != end : parsed.ptr == end)
-            || (!last && *parsed.ptr != ','))
+        if (parsed.ec != std::errc() || (parsed.ptr == end && !last)
+            || (parsed.ptr != end && *parsed.ptr != ','))
             return std::nullopt;
-        position = parsed.ptr + (last ? 0 : 1);
+        position = parsed.ptr + (parsed.ptr == end ? 0 : 1);
     }
-    return LoadReport{ numbers[0], numbers[1], numbers[2] };
+    LoadReport report = { numbers[0], numbers[1], numbers[2], 1 };
+    if (position != end)
+        report.slowness = parseSlowness({ position, static_cast<std::size_t>(end - position) });
+    return report;
 }
 
 // Returns the name or address of a Host field in lower case; IPv6 brackets stay.
@@ -133,6 +149,9 @@
             result.timeout = parseMillis(value);
             continue;
         }
+        const bool isAuthorization = equalFieldNames(name, "Authorization");
+        if (isAuthorization)
+            result.authorization.push_back(value);
         if (equalFieldNames(name, this->names.target) || !this->isForwarded(name, connection))
             continue;
         if (equalFieldNames(name, "Host"))
@@ -142,14 +161,21 @@
             continue;
         if (equalFieldNames(name, this->names.requestId))
             result.requestId = value;
-        result.forwardedFields += name;
-        result.forwardedFields += ": ";
-        result.forwardedFields += value;
-        result.forwardedFields += "\r\n";
+        const bool isIdentity = isAuthorization || equalFieldNames(name, this->names.workspace);
+        std::string &fields = isIdentity ? result.identityFields : result.forwardedFields;
+        fields += name;
+        fields += ": ";
+        fields += value;
+        fields += "\r\n";
     }
     return result;
 }
 
+std::string HttpCodec::workspaceField(const std::string &workspace) const
+{
+    return this->names.workspace + ": " + workspace + "\r\n";
+}
+
 std::string HttpCodec::encodeRequest(const OutboundRequest &request, std::string_view searcher,
                                      Millis remaining) const
 {
@@ -186,6 +212,8 @@
             statement.requestLimit = parseNumber(value);
         else if (equalFieldNames(name, this->names.leaving))
             statement.leaving = statement.leaving || value == "1";
+        else if (equalFieldNames(name, this->names.coldTime))
+            statement.coldFor = parseMillis(value);
         else if (response.head.getStatus() == serviceUnavailable
                  && equalFieldNames(name, "Retry-After"))
             statement.pause = parsePause(value);
--- a/src/connection/httpcodec.h
+++ b/src/connection/httpcodec.h
@@ -27,7 +27,8 @@
     std::string seal = "X-Quetzal-Seal";
     // Present in a reply if the searcher did not run the request.
     std::string notRun = "X-Quetzal-Not-Run";
-    // Number of running requests, waiting requests and slots, separated by commas.
+    // Number of running requests, waiting requests and slots, and optionally how long work takes at
+    // this moment in percent of the usual time, separated by commas.
     std::string load = "X-Quetzal-Load";
     // Requests a second that a searcher accepts from all hosts together, in its replies while it
     // does.
@@ -52,8 +53,13 @@
     std::optional<Millis> timeout;
     // Host field without a port, in lower case.
     std::string host;
+    // Values of the Authorization fields.
+    std::vector<std::string> authorization;
     // Fields that are forwarded to the searcher, as header lines that end with CRLF.
     std::string forwardedFields;
+    // The Authorization and workspace fields as the caller sent them, in the same form. Forwarded
+    // only if callers need no keys.
+    std::string identityFields;
 };
 
 // A request as it is sent to searchers; shared by all attempts of a query.
@@ -75,6 +81,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    // How long work takes on the searcher's machine at this moment, relative to the usual time; 1
+    // if the searcher does not state it.
+    double slowness = 1;
 };
 
 // What a searcher states about itself in a reply, apart from its load.
@@ -86,6 +95,8 @@
     bool leaving = false;
     // It has refused a request and wants none from this host for this time.
     std::optional<Millis> pause;
+    // How long it stays cold, if it states that.
+    std::optional<Millis> coldFor;
     // The response was an interim one, so what it does not mention is unknown.
     bool isInterim = false;
 
@@ -124,6 +135,9 @@
     // Returns the fields of a caller's request that concern the product or are forwarded.
     CallerFields parseCallerRequest(const HttpRequest &request) const;
 
+    // Returns the field that names a caller's workspace to searchers, as a header line.
+    std::string workspaceField(const std::string &workspace) const;
+
     // Returns the bytes of one attempt. The deadline field states the time that is left, rounded
     // down to whole milliseconds, and at least 1.
     std::string encodeRequest(const OutboundRequest &request, std::string_view searcher,
--- a/src/connection/relaymessages.h
+++ b/src/connection/relaymessages.h
@@ -118,7 +118,16 @@
 };
 
 // The type of a relay message; its first byte. Hosts ignore types that they do not know.
-enum class RelayMessageKind : std::uint8_t { Query, Answer, Cancel, RateReport, LeavingReport };
+enum class RelayMessageKind : std::uint8_t {
+    Query,
+    Answer,
+    Cancel,
+    RateReport,
+    LeavingReport,
+    // See request/allowancemessages.h.
+    UsageReports,
+    AllowanceLevels,
+};
 
 // Encodes a message after a byte with its type.
 template <typename Message>
--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -357,14 +357,18 @@
            + (this->hooks.isStoreHealthy() ? "1" : "0") + " standby=" + (this->standby ? "1" : "0");
 }
 
-void ViewExchange::logConfirmation(Millis now)
+bool ViewExchange::isUnconfirmed(Millis now) const
 {
     const Millis age = std::min(this->view.freshness().age(now), now - this->startedAt);
-    const bool isUnconfirmed = !this->standby && age > this->settings.changeDeadline;
-    if (isUnconfirmed == this->loggedUnconfirmed)
+    return !this->standby && age > this->settings.changeDeadline;
+}
+
+void ViewExchange::logConfirmation(Millis now)
+{
+    if (this->isUnconfirmed(now) == this->loggedUnconfirmed)
         return;
-    this->loggedUnconfirmed = isUnconfirmed;
-    logEvent(isUnconfirmed ? LogEvent::ViewUnconfirmed : LogEvent::ViewConfirmed,
+    this->loggedUnconfirmed = !this->loggedUnconfirmed;
+    logEvent(this->loggedUnconfirmed ? LogEvent::ViewUnconfirmed : LogEvent::ViewConfirmed,
              this->confirmationFields(now));
 }
 
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -75,6 +75,10 @@
         return this->link->unacknowledgedFor(host, SteadyClock::now());
     }
 
+    // Returns true if for longer than a change may take neither the store nor another host has
+    // shown that the view is complete. A host on standby is told by others.
+    bool isUnconfirmed(Millis now) const;
+
     // The process did not run for a while.
     void onPaused();
 
--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -35,7 +35,7 @@
 {}
 
 void Gateway::begin(const std::shared_ptr<HttpExchange> &exchange, const Route &route,
-                    const CallerFields &fields, Millis now)
+                    const CallerFields &fields, const Workspace *workspace, Millis now)
 {
     const std::uint64_t number = ++this->lastNumber;
     RunningRequest &entry = this->running[number];
@@ -43,6 +43,7 @@
     entry.exchange = exchange;
     entry.tables = this->view.tables();
     entry.route = &route;
+    entry.workspace = workspace;
     entry.arrivedAt = now;
     const Millis transit = exchange->networkTime() + this->answerReserve();
     entry.target = now + route.targetLatency - transit;
--- a/src/request/gateway.h
+++ b/src/request/gateway.h
@@ -3,6 +3,7 @@
 
 #include "connection/httpcodec.h"
 #include "connection/httpserver.h"
+#include "request/callerauthenticator.h"
 #include "request/partrelay.h"
 #include "request/scatterexecutor.h"
 #include "request/timereserve.h"
@@ -26,6 +27,21 @@
     // Handles a caller's request; answers it now or later.
     void onRequest(const std::shared_ptr<HttpExchange> &exchange);
 
+    // Sets a function that returns false if nothing has shown for some time that the tables are
+    // current. Unknown keys may be known to others then.
+    void setViewTrust(std::function<bool()> isTrusted)
+    {
+        this->isViewTrusted = std::move(isTrusted);
+    }
+
+    // Sets a function that counts a request of a workspace. It returns nothing if the request is
+    // within the workspace's allowance, and otherwise when its caller is to come back.
+    void setAllowance(
+            std::function<std::optional<Millis>(const Workspace &, const std::string &)> counter)
+    {
+        this->countAllowance = std::move(counter);
+    }
+
     // Sets when the process ends at the latest. From now on a request that may not be repeated is
     // refused if it could run until then, as its caller would not learn whether it ran.
     void setShutdownDeadline(Millis at) { this->shutdownDeadline = at; }
@@ -62,6 +78,8 @@
         // Keeps the route alive.
         std::shared_ptr<const RoutingTables> tables;
         const Route *route = nullptr;
+        // The workspace of the caller; null if it needs none.
+        const Workspace *workspace = nullptr;
         Millis arrivedAt;
         // When an incomplete answer is sent if it has enough parts.
         Millis target;
@@ -91,8 +109,12 @@
         TimerId timer = 0;
     };
 
+    // Sets the workspace of a request, and replaces the fields that state one. Refuses the request
+    // and returns false if it needs a key and has no known one.
+    bool authenticate(HttpExchange &exchange, const Route &route, CallerFields &fields,
+                      const Workspace *&workspace);
     void begin(const std::shared_ptr<HttpExchange> &exchange, const Route &route,
-               const CallerFields &fields, Millis now);
+               const CallerFields &fields, const Workspace *workspace, Millis now);
     // Passes on the reply of one searcher.
     void beginSingle(std::uint64_t number);
     // Merges one part of each of the route's pools.
@@ -155,6 +177,10 @@
     // By request number.
     std::unordered_map<std::uint64_t, RunningRequest> running;
     TrafficSplit trafficSplit;
+    // For the tables that were in force at the last request with workspaces.
+    std::unique_ptr<const CallerAuthenticator> authenticator;
+    std::function<bool()> isViewTrusted;
+    std::function<std::optional<Millis>(const Workspace &, const std::string &)> countAllowance;
     // Time by which answers that are due at their target are sent after it.
     TimeReserve targetReserve;
     // Time for merging an answer and for its delivery, the network round trip excluded.
--- a/src/request/gatewayadmission.cpp
+++ b/src/request/gatewayadmission.cpp
@@ -8,10 +8,14 @@
 
 namespace quetzal {
 
+static constexpr int statusUnauthorized = 401;
 static constexpr int statusNotFound = 404;
+static constexpr int statusTooManyRequests = 429;
 static constexpr int statusUnavailable = 503;
 // A pool without searchers gets new ones after seconds rather than milliseconds.
 static constexpr Millis emptyPoolRetryAfter = Millis(1000);
+// Time after which a host that has lost the store may have another view.
+static constexpr Millis unconfirmedRetryAfter = Millis(500);
 // Longest time over which the return of callers is spread.
 static constexpr Millis maxRetrySpread = Millis(500);
 
@@ -19,7 +23,7 @@
 {
     const Millis now = SteadyClock::now();
     this->metrics.add(Counter::Requests);
-    const CallerFields fields = this->codec.parseCallerRequest(exchange->request());
+    CallerFields fields = this->codec.parseCallerRequest(exchange->request());
     const auto &tables = this->view.tables();
     if (!tables) {
         this->refuse(*exchange, statusUnavailable, Fault::NoVersion, fields);
@@ -32,6 +36,9 @@
         this->refuse(*exchange, statusNotFound, Fault::NoRoute, fields);
         return;
     }
+    const Workspace *workspace = nullptr;
+    if (!this->authenticate(*exchange, *route, fields, workspace))
+        return;
     if (!this->isServable(*route, now)) {
         this->refuse(*exchange, statusUnavailable, Fault::PoolEmpty, fields,
                      this->retryAfterEmptyPool(*route, fields.requestId, now));
@@ -43,7 +50,43 @@
         this->refuse(*exchange, statusUnavailable, Fault::Stopping, fields);
         return;
     }
-    this->begin(exchange, *route, fields, now);
+    // Comes last: requests that are refused for other reasons do not use up the allowance.
+    const std::optional<Millis> allowedIn
+            = workspace != nullptr && this->countAllowance
+                      ? this->countAllowance(*workspace, fields.requestId)
+                      : std::nullopt;
+    if (allowedIn) {
+        this->refuse(*exchange, statusTooManyRequests, Fault::AllowanceExhausted, fields,
+                     *allowedIn);
+        return;
+    }
+    this->begin(exchange, *route, fields, workspace, now);
+}
+
+bool Gateway::authenticate(HttpExchange &exchange, const Route &route, CallerFields &fields,
+                           const Workspace *&workspace)
+{
+    const auto &tables = this->view.tables();
+    if (!tables->requiresKeys) {
+        fields.forwardedFields += fields.identityFields;
+        return true;
+    }
+    if (!this->authenticator || this->authenticator->tables() != tables)
+        this->authenticator = std::make_unique<CallerAuthenticator>(tables);
+    workspace = this->authenticator->identify(fields.authorization);
+    if (workspace != nullptr)
+        fields.forwardedFields += this->codec.workspaceField(workspace->name);
+    if (workspace != nullptr || route.anonymous)
+        return true;
+    this->metrics.add(Counter::KeyRefusals);
+    // A key that is not known here may have been added since the tables were last confirmed.
+    const bool isTrusted = !this->isViewTrusted || this->isViewTrusted();
+    if (isTrusted)
+        this->refuse(exchange, statusUnauthorized, Fault::UnknownKey, fields);
+    else
+        this->refuse(exchange, statusUnavailable, Fault::ViewUnconfirmed, fields,
+                     unconfirmedRetryAfter);
+    return false;
 }
 
 std::vector<std::shared_ptr<ShardPool>> Gateway::poolsOf(const Route &route) const
--- a/src/request/gatewayanswers.cpp
+++ b/src/request/gatewayanswers.cpp
@@ -12,6 +12,8 @@
 namespace quetzal {
 
 static constexpr int statusOk = 200;
+static constexpr int statusUnauthorized = 401;
+static constexpr int statusTooManyRequests = 429;
 static constexpr int statusBadGateway = 502;
 static constexpr int statusUnavailable = 503;
 static constexpr int statusGatewayTimeout = 504;
@@ -132,8 +134,10 @@
 {
     this->metrics.add(Counter::Refused);
     std::vector<HttpField> extra;
-    if (status == statusUnavailable)
+    if (status == statusUnavailable || status == statusTooManyRequests)
         extra.push_back(retryAfterField(retryAfter));
+    else if (status == statusUnauthorized)
+        extra.push_back({ "WWW-Authenticate", "Bearer" });
     exchange.respond(status, extra, failureBody(fault, Verdict::NotRun));
     logEvent(LogEvent::RequestRefused,
              "id=" + fields.requestId + " status=" + std::to_string(status)
@@ -144,8 +148,10 @@
 void Gateway::logEnd(const RunningRequest &entry, int status, std::size_t parts) const
 {
     std::ostringstream line;
-    line << "id=" << entry.request->requestId << " route=" << entry.route->name
-         << " status=" << status
+    line << "id=" << entry.request->requestId << " route=" << entry.route->name;
+    if (entry.workspace != nullptr)
+        line << " workspace=" << entry.workspace->name;
+    line << " status=" << status
          << " code=" << (entry.lastFailure ? entry.lastFailure.message() : "none")
          << " parts=" << parts << "/" << std::max<std::size_t>(1, entry.seals.size())
          << " batches=" << entry.batches.size() << " sent=" << entry.sent
--- a/tests/platformtest.cpp
+++ b/tests/platformtest.cpp
@@ -70,7 +70,10 @@
     item.key = "servers/i-1";
     item.value = value;
     item.revision = 9;
-    return readRegistration(item);
+    std::string problem;
+    const SearcherRegistration registration = readRegistration(item, problem);
+    CHECK(problem.empty() == (registration.state != SearcherState::Gone));
+    return registration;
 }
 
 TEST_CASE("an incomplete or invalid registration is read as gone")
@@ -95,6 +98,9 @@
                 { "\"ready\"", "3" },
                 { "\"s\"", "7" },
                 { "10.0.0.1:80", "nowhere" },
+                { "10.0.0.1:80", "localhost:80" },
+                { "10.0.0.1:80", "10.0.0.1:0" },
+                { "10.0.0.1:80", "10.0.0.1:65536" },
                 { "\"maxConcurrency\":2", "\"maxConcurrency\":\"2\"" },
                 { "\"maxConcurrency\":2", "\"maxConcurrency\":true" },
                 { "\"sequence\":4", "\"other\":4" },
@@ -109,6 +115,7 @@
 TEST_CASE("tables are read with routes, traffic splits and limits, or refused with an error")
 {
     std::string error;
+    std::vector<std::string> problems;
     const auto tables = readTables(
             R"({"version":7,"routes":[{"name":"r","host":"Shop.Example","prefix":"/a/",)"
             R"("type":"non_idempotent","timeoutMs":400,"targetLatencyMs":80,"priority":2,)"
@@ -116,8 +123,9 @@
             R"("maxAttempts":2},{"name":"f","host":"h","prefix":"/b/","type":"idempotent",)"
             R"("timeoutMs":9,"fanoutServices":["x","y"],"topK":5,"minShardRatio":0.5}],)"
             R"("services":[{"name":"x","maxConns":26}],"limits":{"maxBodyBytes":10}})",
-            error);
+            error, problems);
     REQUIRE(tables);
+    CHECK(problems.empty());
     CHECK(tables->revision.value == 7);
     CHECK_FALSE(tables->routes[0].repeatable);
     CHECK(tables->routes[0].trafficSplit.size() == 2);
@@ -126,9 +134,9 @@
     CHECK(tables->routes[1].minCoverage == 0.5);
     CHECK(tables->pool("x")->connectionCap == 26);
     CHECK(tables->limits.maxBodyBytes == 10);
-    CHECK_FALSE(readTables(R"({"version":7,"routes":[{"name":"r"}]})", error));
+    CHECK_FALSE(readTables(R"({"version":7,"routes":[{"name":"r"}]})", error, problems));
     CHECK_FALSE(error.empty());
-    CHECK_FALSE(readTables("{", error));
+    CHECK_FALSE(readTables("{", error, problems));
 }
 
 TEST_CASE("a malformed page of the store is refused as a whole")
