--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -51,7 +51,7 @@
                 randomSeed(settings.name))
     , allowances(this->loop, this->metrics, this->view,
                  { { stableHash(settings.heartbeatAddress) }, settings.zone, settings.capacity },
-                 randomSeed(settings.name))
+                 settings.allowanceTolerance, randomSeed(settings.name))
     , gateway(this->loop, this->metrics, this->codec, this->view, this->scatters, this->partRelay,
               settings.zone)
 {
--- a/src/process/gatewaysettings.cpp
+++ b/src/process/gatewaysettings.cpp
@@ -73,8 +73,9 @@
         result.errors = reader.errors();
         return result;
     }
-    reader.allowOnly(root, "settings",
-                     { "host", "listen", "store", "files", "seeds", "retries", "limits" });
+    reader.allowOnly(
+            root, "settings",
+            { "host", "listen", "store", "files", "seeds", "retries", "limits", "allowances" });
     const YAML::Node host = section(reader, root, "host", true);
     reader.allowOnly(host, "host",
                      { "name", "zone", "capacity", "zone_distance_ms", "zone_reluctance_ms" });
@@ -110,6 +111,16 @@
                                         settings.retrySlack);
     settings.retryWindow = Millis(reader.number(retries, "window_ms", "retries", 1, maxDurationMs,
                                                 false, settings.retryWindow.count()));
+    const YAML::Node allowances = section(reader, root, "allowances", false);
+    reader.allowOnly(allowances, "allowances",
+                     { "window_ms", "tolerated_ratio", "tolerated_slack" });
+    AllowanceTolerance &tolerance = settings.allowanceTolerance;
+    tolerance.window = Millis(reader.number(allowances, "window_ms", "allowances", 1, maxDurationMs,
+                                            false, tolerance.window.count()));
+    tolerance.ratio = reader.number(allowances, "tolerated_ratio", "allowances", 0, 1, false,
+                                    tolerance.ratio);
+    tolerance.slack = reader.number(allowances, "tolerated_slack", "allowances", 0, maxRetrySlack,
+                                    false, tolerance.slack);
     const YAML::Node limits = section(reader, root, "limits", false);
     reader.allowOnly(limits, "limits", { "grace_ms", "change_in_force_ms" });
     settings.grace = Millis(reader.number(limits, "grace_ms", "limits", 0, maxDurationMs, false,
--- a/src/process/gatewaysettings.h
+++ b/src/process/gatewaysettings.h
@@ -3,6 +3,7 @@
 
 #include "process/filefeed.h"
 #include "quetzal/millis.h"
+#include "request/allowance.h"
 #include "version/yamlreader.h"
 
 #include <optional>
@@ -36,6 +37,8 @@
     double retryRatio = 0.2;
     double retrySlack = 50;
     Millis retryWindow = Millis(10'000);
+    // What all hosts together may admit beyond the allowance of a workspace.
+    AllowanceTolerance allowanceTolerance;
     // Time from the start of a shutdown until the process must have exited.
     Millis grace = Millis(6000);
     // Time within which a change that the store has accepted is to be in force on every host.
--- a/src/request/allowanceexchange.cpp
+++ b/src/request/allowanceexchange.cpp
@@ -14,11 +14,13 @@
 static constexpr Millis lostHostRetention = Millis(20'000);
 
 AllowanceExchange::AllowanceExchange(EventLoop &loop, Metrics &metrics, const ServingView &view,
-                                     RelayPeer self, std::uint64_t seed)
+                                     RelayPeer self, const AllowanceTolerance &tolerance,
+                                     std::uint64_t seed)
     : loop(loop)
     , metrics(metrics)
     , view(view)
     , self(std::move(self))
+    , tolerance(tolerance)
     , gate(seed, seed, SteadyClock::now())
     , ledger(SteadyClock::now())
 {}
@@ -64,8 +66,9 @@
 std::optional<Millis> AllowanceExchange::refusal(const Workspace &workspace,
                                                  const std::string &requestId)
 {
-    const AllowanceDecision decision = this->gate.decide(workspace, this->keepersOf(workspace.name),
-                                                         this->peakHosts, SteadyClock::now());
+    const AllowanceDecision decision = this->gate.decide(
+            workspace.name, allowanceOf(workspace, this->tolerance),
+            this->keepersOf(workspace.name), this->peakHosts, SteadyClock::now());
     if (this->gate.hasReports())
         this->scheduleFlush(AllowanceGate::reportDelay);
     this->logDecision(workspace, decision);
@@ -145,8 +148,8 @@
                 workspaces.begin(), workspaces.end(),
                 [&](const Workspace &workspace) { return workspace.name == report.workspace; });
         if (found != workspaces.end())
-            answer.levels.push_back(
-                    this->ledger.onReport(from, reports.incarnation, report, *found, now));
+            answer.levels.push_back(this->ledger.onReport(
+                    from, reports.incarnation, report, allowanceOf(*found, this->tolerance), now));
     }
     if (this->ledger.hasNotices())
         this->scheduleFlush(AllowanceGate::reportDelay);
--- a/src/request/allowanceexchange.h
+++ b/src/request/allowanceexchange.h
@@ -24,7 +24,7 @@
 public:
     // self: this host. seed: differs between incarnations of this host.
     AllowanceExchange(EventLoop &loop, Metrics &metrics, const ServingView &view, RelayPeer self,
-                      std::uint64_t seed);
+                      const AllowanceTolerance &tolerance, std::uint64_t seed);
     ~AllowanceExchange();
     AllowanceExchange(const AllowanceExchange &) = delete;
     AllowanceExchange &operator=(const AllowanceExchange &) = delete;
@@ -69,6 +69,7 @@
     Metrics &metrics;
     const ServingView &view;
     RelayPeer self;
+    AllowanceTolerance tolerance;
     AllowanceGate gate;
     AllowanceLedger ledger;
     std::function<void(HostId, std::string)> send;
--- a/src/request/allowancegate.cpp
+++ b/src/request/allowancegate.cpp
@@ -65,15 +65,15 @@
 }
 
 double AllowanceGate::estimate(const WorkspaceState &state, const KeeperLevel &level,
-                               const Workspace &workspace, Millis now)
+                               const Allowance &allowance, Millis now)
 {
     const Millis age = now - level.receivedAt;
-    const double perMilli = (workspace.allowedRate - level.othersRate) / millisPerSecond;
+    const double perMilli = (allowance.rate - level.othersRate) / millisPerSecond;
     double estimated
             = level.level + perMilli * (perMilli < 0 ? std::min(age, overuseTime) : age).count();
     if (perMilli < 0 && age > staleTime)
-        estimated += workspace.allowedRate / 2 * (age - staleTime).count() / millisPerSecond;
-    estimated = std::min(std::max(1.0, workspace.allowedBurst), estimated);
+        estimated += allowance.rate / 2 * (age - staleTime).count() / millisPerSecond;
+    estimated = std::min(allowance.burst, estimated);
     return estimated - static_cast<double>(state.admitted - level.acknowledged);
 }
 
@@ -88,30 +88,30 @@
         state.recent.pop_front();
 }
 
-void AllowanceGate::refillAlone(WorkspaceState &state, const Workspace &workspace,
+void AllowanceGate::refillAlone(WorkspaceState &state, const Allowance &allowance,
                                 std::size_t hosts, Millis now) const
 {
     const std::size_t assumed = now - this->startedAt < settlingTime
                                         ? std::max(hosts, minAssumedHosts)
                                         : std::max<std::size_t>(1, hosts);
-    const double rate = (workspace.allowedRate * aloneRatePart + aloneExtraRate)
-                        / static_cast<double>(assumed);
+    const double rate
+            = (allowance.rate * aloneRatePart + aloneExtraRate) / static_cast<double>(assumed);
     const double added = rate * (now - state.tokensUpdatedAt).count() / millisPerSecond;
     state.tokens = std::min(1.0, state.tokens + added);
     state.tokensUpdatedAt = now;
 }
 
-AllowanceDecision AllowanceGate::decide(const Workspace &workspace,
+AllowanceDecision AllowanceGate::decide(const std::string &workspace, const Allowance &allowance,
                                         const std::vector<HostId> &keepers, std::size_t hosts,
                                         Millis now)
 {
     AllowanceDecision decision;
-    if (workspace.allowedRate <= 0) {
+    if (allowance.rate <= 0) {
         decision.admitted = true;
         decision.isConfirmed = true;
         return decision;
     }
-    WorkspaceState &state = this->stateOf(workspace.name, now);
+    WorkspaceState &state = this->stateOf(workspace, now);
     const auto keeper = std::find_if(keepers.begin(), keepers.end(),
                                      [&](HostId host) { return !this->isSilent(host, now); });
     const bool isSettled = now - this->startedAt >= settlingTime;
@@ -119,7 +119,7 @@
     if (decision.isConfirmed) {
         const auto known = state.keepers.find(*keeper);
         if (known != state.keepers.end()) {
-            decision.level = estimate(state, known->second, workspace, now);
+            decision.level = estimate(state, known->second, allowance, now);
             decision.age = now - known->second.receivedAt;
             // While an answer is overdue, other hosts may wait for theirs as well.
             const auto unacknowledged
@@ -132,10 +132,10 @@
             decision.admitted = state.admitted == 0 || now - state.recent.back() > recentTime;
         }
         const double missing = std::max(0.0, 1 - decision.level);
-        decision.retryAfter = std::clamp(Millis(missing / workspace.allowedRate * millisPerSecond),
+        decision.retryAfter = std::clamp(Millis(missing / allowance.rate * millisPerSecond),
                                          minRetryAfter, maxRetryAfter);
     }
-    this->refillAlone(state, workspace, hosts, now);
+    this->refillAlone(state, allowance, hosts, now);
     if (!decision.isConfirmed) {
         decision.level = state.tokens;
         decision.admitted = state.tokens >= 1;
@@ -146,7 +146,7 @@
     if (decision.admitted || now - state.queriedAt >= queryPeriod) {
         state.queriedAt = now;
         for (const HostId host : keepers)
-            this->reportsDue[host].insert(workspace.name);
+            this->reportsDue[host].insert(workspace);
     }
     return decision;
 }
--- a/src/request/allowancegate.h
+++ b/src/request/allowancegate.h
@@ -3,8 +3,8 @@
 
 #include "quetzal/ids.h"
 #include "quetzal/millis.h"
+#include "request/allowance.h"
 #include "request/allowancemessages.h"
-#include "version/workspace.h"
 
 #include <deque>
 #include <map>
@@ -42,8 +42,8 @@
 
     // Decides on a request. keepers: the hosts that keep the workspace's account, the preferred one
     // first. hosts: the number of hosts in the fleet.
-    AllowanceDecision decide(const Workspace &workspace, const std::vector<HostId> &keepers,
-                             std::size_t hosts, Millis now);
+    AllowanceDecision decide(const std::string &workspace, const Allowance &allowance,
+                             const std::vector<HostId> &keepers, std::size_t hosts, Millis now);
 
     // Returns the reports that are due, by keeper.
     std::map<HostId, UsageReports> takeReports(Millis now);
@@ -86,9 +86,9 @@
     WorkspaceState &stateOf(const std::string &workspace, Millis now);
     // Returns the estimated tokens left according to a keeper.
     static double estimate(const WorkspaceState &state, const KeeperLevel &level,
-                           const Workspace &workspace, Millis now);
+                           const Allowance &allowance, Millis now);
     // Fills the host's own bucket.
-    void refillAlone(WorkspaceState &state, const Workspace &workspace, std::size_t hosts,
+    void refillAlone(WorkspaceState &state, const Allowance &allowance, std::size_t hosts,
                      Millis now) const;
     void recordAdmission(WorkspaceState &state, Millis now);
 
--- a/src/request/allowanceledger.cpp
+++ b/src/request/allowanceledger.cpp
@@ -48,13 +48,13 @@
 }
 
 AllowanceLevel AllowanceLedger::onReport(HostId host, std::uint64_t incarnation,
-                                         const UsageReport &report, const Workspace &workspace,
+                                         const UsageReport &report, const Allowance &allowance,
                                          Millis now)
 {
     const auto [found, isNew] = this->accounts.try_emplace(report.workspace);
     Account &account = found->second;
-    account.rate = workspace.allowedRate;
-    account.burst = std::max(1.0, workspace.allowedBurst);
+    account.rate = allowance.rate;
+    account.burst = allowance.burst;
     if (isNew)
         account.updatedAt = this->startedAt;
     this->refill(account, now);
--- a/src/request/allowanceledger.h
+++ b/src/request/allowanceledger.h
@@ -3,8 +3,8 @@
 
 #include "quetzal/ids.h"
 #include "quetzal/millis.h"
+#include "request/allowance.h"
 #include "request/allowancemessages.h"
-#include "version/workspace.h"
 
 #include <map>
 #include <string>
@@ -31,7 +31,7 @@
 
     // Counts what a host reports, and returns what the host is to be told.
     AllowanceLevel onReport(HostId host, std::uint64_t incarnation, const UsageReport &report,
-                            const Workspace &workspace, Millis now);
+                            const Allowance &allowance, Millis now);
 
     // What a host has to be told without having asked: its incarnation and the level.
     struct Notice
