A restarted host asks keepers after one second, with all members it knows

Accounts need no warm connections, so keepers are chosen among all live members, and hosts ask them after one second. Refusals in that time name the end of it.

--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -27,6 +27,15 @@
                       static_cast<std::uint64_t>(SteadyClock::now().count() * 1000));
 }
 
+static std::vector<RelayPeer> relayPeers(const std::vector<MemberInfo> &members)
+{
+    std::vector<RelayPeer> peers;
+    peers.reserve(members.size());
+    for (const MemberInfo &member : members)
+        peers.push_back({ member.id, member.zone, member.capacity });
+    return peers;
+}
+
 ScatterExecutorOptions GatewayProcess::scatterOptions() const
 {
     ScatterExecutorOptions options;
@@ -64,12 +73,11 @@
     hooks.onFleetCapacityChanged
             = [this](double fleetCapacity) { this->scatters.setFleetCapacity(fleetCapacity); };
     hooks.onPeersChanged = [this](const std::vector<MemberInfo> &alive) {
-        std::vector<RelayPeer> peers;
-        peers.reserve(alive.size());
-        for (const MemberInfo &member : alive)
-            peers.push_back({ member.id, member.zone, member.capacity });
-        this->partRelay.setPeers(peers);
-        this->allowances.setPeers(peers);
+        this->partRelay.setPeers(relayPeers(alive));
+    };
+    // An account needs no connections that have to warm up first.
+    hooks.onMembersChanged = [this](const std::vector<MemberInfo> &members) {
+        this->allowances.setPeers(relayPeers(members));
     };
     hooks.onStandbyChanged = [this](bool standby) { this->feed->setStandby(standby); };
     hooks.onMessage = [this](HostId from, const std::string &payload) {
--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -159,6 +159,8 @@
     const Millis now = SteadyClock::now();
     std::vector<MemberInfo> alive;
     std::vector<HostId> ids;
+    std::vector<MemberInfo> members;
+    std::vector<HostId> memberIds;
     for (const MemberInfo &member : this->membership.others()) {
         this->link->setAddress(member.id, member.address);
         // The zone of a seed is unknown until its first heartbeat.
@@ -170,11 +172,19 @@
             incarnation = member.incarnation;
             since = now;
         }
+        members.push_back(member);
+        memberIds.push_back(member.id);
         if (now - since < warmupPeriod)
             continue;
         alive.push_back(member);
         ids.push_back(member.id);
     }
+    std::sort(memberIds.begin(), memberIds.end());
+    if (memberIds != this->reportedMembers) {
+        this->reportedMembers = memberIds;
+        if (this->hooks.onMembersChanged)
+            this->hooks.onMembersChanged(members);
+    }
     std::sort(ids.begin(), ids.end());
     if (ids == this->reportedPeers)
         return;
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -37,6 +37,8 @@
     std::function<void(bool)> onStandbyChanged;
     // The set of other hosts that have been alive for some time changed.
     std::function<void(const std::vector<MemberInfo> &)> onPeersChanged;
+    // The set of other hosts that are alive changed, those included that have just started.
+    std::function<void(const std::vector<MemberInfo> &)> onMembersChanged;
     // A message from another host arrived; called once for each message.
     std::function<void(HostId, const std::string &)> onMessage;
     // Another host restarted or does not acknowledge messages.
@@ -119,6 +121,7 @@
     Incarnation linkIncarnation;
     std::minstd_rand random;
     std::vector<HostId> reportedPeers;
+    std::vector<HostId> reportedMembers;
     // Incarnation of each other host, and since when it has been alive.
     std::map<HostId, std::pair<Incarnation, Millis>> aliveSince;
     std::shared_ptr<HttpServer> server;
--- a/src/request/allowancegate.cpp
+++ b/src/request/allowancegate.cpp
@@ -10,7 +10,7 @@
 // Time within which a reachable keeper answers.
 static constexpr Millis usualAnswerTime = Millis(60);
 // Time after the start in which the other hosts are not all known, and may have started as well.
-static constexpr Millis settlingTime = Millis(2000);
+static constexpr Millis settlingTime = Millis(1000);
 // Hosts that a host assumes in that time at least.
 static constexpr std::size_t minAssumedHosts = 64;
 // Part of the rate, and requests a second in addition, that all hosts together admit while no
@@ -139,7 +139,7 @@
     if (!decision.isConfirmed) {
         decision.level = state.tokens;
         decision.admitted = state.tokens >= 1;
-        decision.retryAfter = settlingTime;
+        decision.retryAfter = std::max(minRetryAfter, settlingTime - (now - this->startedAt));
     }
     if (decision.admitted)
         this->recordAdmission(state, now);
