Log that an implausible figure of a machine's speed is ignored

The fourth figure of a searcher's load report was read as 100 if it was not plausible, without a trace: operators could not tell a searcher that states nonsense from one that states nothing. The link now logs QZ2113, at most once a minute for each searcher.

--- a/src/connection/httpcodec.cpp
+++ b/src/connection/httpcodec.cpp
@@ -90,8 +90,9 @@
     return std::min(maxPause, Millis(*seconds * millisPerSecond));
 }
 
-// Returns the fourth figure of a load report, a percentage, as a factor; 1 if it is not plausible.
-static double parseSlowness(std::string_view text)
+// Returns the fourth figure of a load report, a percentage, as a factor; nothing if it is not
+// plausible.
+static std::optional<double> parseSlowness(std::string_view text)
 {
     static constexpr unsigned minPercent = 10;
     static constexpr unsigned maxPercent = 10'000;
@@ -100,7 +101,7 @@
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
     const bool isValid = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size()
                          && value >= minPercent && value <= maxPercent;
-    return isValid ? value / percent : 1;
+    return isValid ? std::optional(value / percent) : std::nullopt;
 }
 
 // Parses "running,waiting,slots" or "running,waiting,slots,percent".
@@ -117,9 +118,12 @@
             return std::nullopt;
         position = parsed.ptr + (parsed.ptr == end ? 0 : 1);
     }
-    LoadReport report = { numbers[0], numbers[1], numbers[2], 1 };
-    if (position != end)
-        report.slowness = parseSlowness({ position, static_cast<std::size_t>(end - position) });
+    LoadReport report = { numbers[0], numbers[1], numbers[2] };
+    if (position != end) {
+        const auto slowness = parseSlowness({ position, static_cast<std::size_t>(end - position) });
+        report.slowness = slowness.value_or(1);
+        report.isSlownessIgnored = !slowness;
+    }
     return report;
 }
 
--- a/src/connection/httpcodec.h
+++ b/src/connection/httpcodec.h
@@ -82,8 +82,10 @@
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
     // How long work takes on the searcher's machine at this moment, relative to the usual time; 1
-    // if the searcher does not state it.
+    // if the searcher does not state it plausibly.
     double slowness = 1;
+    // The searcher stated a slowness that is not plausible.
+    bool isSlownessIgnored = false;
 };
 
 // What a searcher states about itself in a reply, apart from its load.
--- a/src/connection/searcherlink.cpp
+++ b/src/connection/searcherlink.cpp
@@ -1,5 +1,6 @@
 #include "connection/searcherlink.h"
 
+#include "process/eventlog.h"
 #include "quetzal/fault.h"
 #include "quetzal/steadyclock.h"
 
@@ -20,6 +21,8 @@
 static constexpr Millis defaultKeepAlive = Millis(4000);
 // How much earlier than its stated keep-alive time a searcher may close an idle connection.
 static constexpr Millis keepAliveMargin = Millis(700);
+// A searcher that states an implausible figure usually does so in every reply.
+static constexpr Millis ignoredLoadLogInterval = Millis(60000);
 
 SearcherLink::SearcherLink(EventLoop &loop, Metrics &metrics, const HttpCodec &codec,
                            std::string searcher, const std::string &address,
@@ -211,6 +214,17 @@
     }
 }
 
+void SearcherLink::reportLoad(const LoadReport &report)
+{
+    const Millis now = SteadyClock::now();
+    if (report.isSlownessIgnored && now - this->ignoredLoadLoggedAt >= ignoredLoadLogInterval) {
+        this->ignoredLoadLoggedAt = now;
+        logEvent(LogEvent::LoadFigureIgnored, "searcher=" + this->searcher);
+    }
+    if (this->callbacks.onLoad)
+        this->callbacks.onLoad(report);
+}
+
 // Returns false if the reply belongs to another request; the expected reply may still follow.
 bool SearcherLink::handleReply(const ConnectionPtr &connection, HttpResponse &&response)
 {
@@ -235,8 +249,8 @@
     }
     const AttemptId id = connection->work->id;
     const Outcome outcome = this->classifyReply(reply);
-    if (reply.load && this->callbacks.onLoad)
-        this->callbacks.onLoad(*reply.load);
+    if (reply.load)
+        this->reportLoad(*reply.load);
     const bool surplus = connection->reader.hasPartial();
     connection->work.reset();
     const bool valid = connection->reusable && outcome.code != Fault::ReplyMismatch;
--- a/src/connection/searcherlink.h
+++ b/src/connection/searcherlink.h
@@ -123,6 +123,8 @@
     void onClosed(const ConnectionPtr &connection);
     bool handleReply(const ConnectionPtr &connection, HttpResponse &&response);
     void reportStatement(const SearcherStatement &statement, const Connection &connection);
+    // Passes a load report on, and logs that part of it is ignored.
+    void reportLoad(const LoadReport &report);
     Outcome classifyReply(const SearcherReply &reply) const;
     void release(const ConnectionPtr &connection, bool keep);
     void drop(const ConnectionPtr &connection);
@@ -138,6 +140,8 @@
     std::uint32_t maxConnections = 1;
     Millis singleConnectionUntil;
     bool retired = false;
+    // When it was last logged that part of a load report is ignored.
+    Millis ignoredLoadLoggedAt = Millis(-1e9);
     std::vector<ConnectionPtr> connections;
     std::deque<Work> waiting;
 };
--- a/src/process/eventlog.h
+++ b/src/process/eventlog.h
@@ -83,6 +83,8 @@
     // The memory held for connections exceeds its limit, or no longer does.
     MemoryLimited,
     MemoryRelieved,
+    // A searcher states an implausible figure of its machine's speed.
+    LoadFigureIgnored,
 };
 
 // Severity of an event.
@@ -97,7 +99,7 @@
 };
 
 // Indexed by LogEvent.
-inline constexpr std::array<LogEventInfo, 55> logEvents = { {
+inline constexpr std::array<LogEventInfo, 56> logEvents = { {
         { 1001, "started", LogLevel::Info },
         { 1002, "ready", LogLevel::Info },
         { 1003, "not-ready", LogLevel::Warning },
@@ -153,6 +155,7 @@
         { 2501, "connection-limited", LogLevel::Warning },
         { 2502, "memory-limited", LogLevel::Warning },
         { 2503, "memory-relieved", LogLevel::Info },
+        { 2113, "load-figure-ignored", LogLevel::Warning },
 } };
 
 // Sends log lines to a file, or to standard error if the path is empty.
