Estimate searchers' queues from load reports by their age

Callers saw searchers of a pool overloaded in turns while others idled. A host used a searcher's load report for 40 ms after its arrival and then only its own open attempts, so it took for idle what other hosts had filled.

LoadEstimate weighs a report by its age relative to the service time, puts the mean of recent reports in its place, and the attempts sent since are added. The reported speed of the machine scales the service time while it is recent.

Searchers that do not report their load are treated as before.

--- a/src/request/trackedsearcher.cpp
+++ b/src/request/trackedsearcher.cpp
@@ -15,8 +15,16 @@
 // Without new samples, the slowness decays to 1 and the refusal rate to 0.
 static constexpr Millis estimateHalfLife = Millis(1500);
 static constexpr Millis refusalRateHalfLife = Millis(1000);
-// Time for which a load report is taken into account.
-static constexpr Millis loadReportLifetime = Millis(40);
+// As estimateHalfLife, for the slowness of a searcher that reports its load. Longer, because the
+// share of the queue is left out, which changes faster. With 1.5 s and the queue included, a
+// searcher that is always four times slower gets too much work (docs/design/even-load.md).
+static constexpr Millis reportedEstimateHalfLife = Millis(5000);
+// Weight of a new sample in the mean of the queue factor.
+static constexpr double queueFactorGain = 0.05;
+// Share of the service time that each request ahead costs even if slots should be free, because one
+// of them may delay the attempt: without and with load reports.
+static constexpr double requestAheadCost = 0.1;
+static constexpr double reportedRequestAheadCost = 0.2;
 // An attempt open for longer than minStallAge and than stallFactor times the typical latency plus
 // the round trip indicates that the searcher is paused.
 static constexpr double stallFactor = 3;
@@ -73,7 +81,13 @@
 
 void TrackedSearcher::onSent(const AttemptId &attempt, Millis typicalLatency, Millis now)
 {
-    this->pendingAttempts.push_back({ attempt, now, typicalLatency });
+    double queueShare = 1;
+    if (this->load.hasReport()) {
+        const double factor = this->queueFactor(this->serviceTime(typicalLatency, now), now);
+        this->usualQueueFactor += (factor - this->usualQueueFactor) * queueFactorGain;
+        queueShare = factor / this->usualQueueFactor;
+    }
+    this->pendingAttempts.push_back({ attempt, now, typicalLatency, queueShare });
     this->sharedRate.onSent(now);
 }
 
@@ -118,7 +132,7 @@
 void TrackedSearcher::recordLatency(const OpenAttempt &attempt, Millis latency, bool isLowerBound,
                                     Millis now)
 {
-    const double typicalMs = std::max(1.0, attempt.typicalLatency.count());
+    const double typicalMs = std::max(1.0, attempt.typicalLatency.count() * attempt.queueShare);
     const double ratio = std::max(0.0, (latency - this->roundTrip).count()) / typicalMs;
     const double previous = this->currentSlowness(now);
     if (isLowerBound && ratio < previous)
@@ -139,8 +153,7 @@
 
 void TrackedSearcher::onLoad(const LoadReport &report, Millis now)
 {
-    this->load = report;
-    this->loadReceivedAt = now;
+    this->load.onReport(report, now);
 }
 
 void TrackedSearcher::refreshWarmupLimit(Millis now)
@@ -178,7 +191,10 @@
 
 double TrackedSearcher::currentSlowness(Millis now) const
 {
-    return 1 + decayed(this->slowness - 1, now - this->slownessAt, estimateHalfLife);
+    if (this->slowness == 1)
+        return 1;
+    const Millis halfLife = this->load.hasReport() ? reportedEstimateHalfLife : estimateHalfLife;
+    return 1 + decayed(this->slowness - 1, now - this->slownessAt, halfLife);
 }
 
 bool TrackedSearcher::isStalled(Millis now) const
@@ -199,23 +215,40 @@
     return this->consecutiveFailures >= failuresBeforeBackOff && !this->pendingAttempts.empty();
 }
 
-Millis TrackedSearcher::cost(Millis typicalLatency, Millis now) const
+Millis TrackedSearcher::serviceTime(Millis typicalLatency, Millis now) const
+{
+    const double factor = std::max(0.3, this->currentSlowness(now)) * this->load.slowness(now);
+    return typicalLatency * (now < this->warmUntil ? factor * warmupFactor : factor);
+}
+
+double TrackedSearcher::requestsAhead(Millis service, Millis now) const
+{
+    const double open = static_cast<double>(this->pendingAttempts.size());
+    if (!this->load.hasReport())
+        return open;
+    // Attempts sent later than this had not arrived when the searcher sent its report.
+    const Millis countedUntil = this->load.reportedAt() - this->roundTrip;
+    const auto uncounted = std::count_if(
+            this->pendingAttempts.begin(), this->pendingAttempts.end(),
+            [&](const OpenAttempt &attempt) { return attempt.sentAt > countedUntil; });
+    return std::max(open, this->load.requests(service, now) + static_cast<double>(uncounted));
+}
+
+double TrackedSearcher::queueFactor(Millis service, Millis now) const
 {
     const double slots = std::max(1U, this->currentRegistration.slots);
-    double requestsAhead = static_cast<double>(this->pendingAttempts.size());
-    if (now - this->loadReceivedAt < loadReportLifetime)
-        requestsAhead = std::max(requestsAhead,
-                                 static_cast<double>(this->load.running + this->load.waiting));
-    Millis service = typicalLatency * std::max(0.3, this->currentSlowness(now));
-    if (now < this->warmUntil)
-        service = service * warmupFactor;
-    Millis cost = service + service * (std::max(0.0, requestsAhead + 1 - slots) / slots)
-                  + this->roundTrip + this->zonePenalty;
-    // Even if slots should be free, the more requests are open, the likelier one of them delays
-    // this attempt.
-    cost += service * (0.1 * requestsAhead);
-    cost += refusalCost
-            * decayed(this->refusalRate, now - this->refusalRateAt, refusalRateHalfLife);
+    const double ahead = this->requestsAhead(service, now);
+    const double perRequest = this->load.hasReport() ? reportedRequestAheadCost : requestAheadCost;
+    return 1 + std::max(0.0, ahead + 1 - slots) / slots + perRequest * ahead;
+}
+
+Millis TrackedSearcher::cost(Millis typicalLatency, Millis now) const
+{
+    const Millis service = this->serviceTime(typicalLatency, now);
+    Millis cost = service * this->queueFactor(service, now) + this->roundTrip + this->zonePenalty;
+    if (this->refusalRate > 0)
+        cost += refusalCost
+                * decayed(this->refusalRate, now - this->refusalRateAt, refusalRateHalfLife);
     if (this->pendingAttempts.size() >= this->connectionLimit)
         cost += service;
     if (this->isStalled(now))
--- a/src/request/trackedsearcher.h
+++ b/src/request/trackedsearcher.h
@@ -5,6 +5,7 @@
 #include "quetzal/millis.h"
 #include "quetzal/verdict.h"
 #include "request/attempt.h"
+#include "request/loadestimate.h"
 #include "request/rateshare.h"
 #include "version/searcherdirectory.h"
 
@@ -114,8 +115,17 @@
         AttemptId id;
         Millis sentAt;
         Millis typicalLatency;
+        // Expected latency on account of the queue at that time, relative to the usual queue's.
+        double queueShare = 1;
     };
 
+    // Returns the expected service time, which leaves out the queue.
+    Millis serviceTime(Millis typicalLatency, Millis now) const;
+    // Returns the expected number of requests that an attempt sent now finds on the searcher.
+    double requestsAhead(Millis service, Millis now) const;
+    // Returns the expected latency of an attempt sent now, without the round trip, in service
+    // times.
+    double queueFactor(Millis service, Millis now) const;
     void recordFailure(Millis now);
     // Updates the slowness. isLowerBound: the attempt was cancelled, so the latency is a lower
     // bound.
@@ -149,8 +159,9 @@
     std::optional<double> statedLimit;
     bool statedLeaving = false;
     RateShare sharedRate;
-    LoadReport load;
-    Millis loadReceivedAt = Millis(-1e9);
+    LoadEstimate load;
+    // Exponentially weighted mean of the queue factor of attempts.
+    double usualQueueFactor = 1;
 };
 
 } // namespace quetzal
