--- /dev/null
+++ b/tests/crowd/crowdhost.h
@@ -0,0 +1,50 @@
+// One quetzal-gateway process with a searcher of its own.
+#pragma once
+
+#include "connection/httpserver.h"
+#include "crowd/childprocess.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace quetzal {
+
+// Starts a searcher on a thread of the test and a gateway on free ports of 127.0.0.1, and waits
+// until the gateway is ready. The searcher answers "/long" with longAnswerBytes and all else
+// briefly.
+class CrowdHost
+{
+public:
+    static constexpr std::size_t longAnswerBytes = 1'048'576;
+
+    CrowdHost();
+    ~CrowdHost();
+    CrowdHost(const CrowdHost &) = delete;
+    CrowdHost &operator=(const CrowdHost &) = delete;
+
+    ChildProcess &process() { return *this->child; }
+    std::uint16_t callersPort() const { return this->callers; }
+
+    // Returns the growth of the resident memory since the process was ready, at its highest.
+    std::size_t peakGrowth() const;
+
+    // Returns the status of one ordinary request on a new connection.
+    int ordinaryStatus() const;
+
+private:
+    void writeFile(const std::string &name, const std::string &text) const;
+    std::string path(const std::string &name) const { return (this->directory / name).string(); }
+
+    std::filesystem::path directory;
+    EventLoop loop;
+    std::shared_ptr<HttpServer> searcher;
+    std::thread thread;
+    std::uint16_t callers = 0;
+    std::unique_ptr<ChildProcess> child;
+    std::size_t initialBytes = 0;
+};
+
+} // namespace quetzal
