Connections: reading pauses at bounds, unread answers hold further requests back

A server read whatever callers sent, and buffered whatever they did not read. Now reading pauses while a request is handled and more than one head and one body (at least 64 KiB) is buffered, or while more than 256 KiB of answers are unsent; no further request is handled then. A connection whose unsent bytes make no progress for 10 s is closed, logged (QZ2501) and counted. Buffers are released when they are empty, and consumed without moving the rest each time.

--- a/src/connection/httpreader.cpp
+++ b/src/connection/httpreader.cpp
@@ -114,6 +114,17 @@
     return false;
 }
 
+template <typename Head>
+void HttpReader<Head>::consume(std::size_t bytes)
+{
+    this->used += bytes;
+    if (this->used < this->buffer.size())
+        return;
+    // Also releases the memory: it could be large, and there may be thousands of connections.
+    this->buffer = std::string();
+    this->used = 0;
+}
+
 template <typename Head>
 HttpMessage<Head> HttpReader<Head>::take()
 {
@@ -139,26 +150,26 @@
 {
     if (this->error != 0 || !this->partial || this->framing != Framing::UntilEnd)
         return std::nullopt;
-    this->partial->body = std::move(this->buffer);
-    this->buffer.clear();
+    this->partial->body = this->rest();
+    this->consume(this->rest().size());
     return this->take();
 }
 
 template <typename Head>
 bool HttpReader<Head>::parseHead()
 {
-    const std::size_t end = this->buffer.find(headEnd);
+    const std::size_t end = this->rest().find(headEnd);
     if (end == std::string::npos)
-        return this->buffer.size() > this->limits.maxHeadBytes ? this->fail(headTooLarge) : false;
+        return this->rest().size() > this->limits.maxHeadBytes ? this->fail(headTooLarge) : false;
     if (end > this->limits.maxHeadBytes)
         return this->fail(headTooLarge);
     this->partial.emplace();
-    const std::string_view head = std::string_view(this->buffer).substr(0, end);
+    const std::string_view head = this->rest().substr(0, end);
     const std::size_t lineSize = std::min(head.find(lineEnd), head.size());
     const int startLineError = readStartLine(head.substr(0, lineSize), this->partial->head);
     bool good = startLineError == 0 ? true : this->fail(startLineError);
     good = good && this->parseFields(head.substr(std::min(head.size(), lineSize + 2)));
-    this->buffer.erase(0, end + headEnd.size());
+    this->consume(end + headEnd.size());
     good = good && this->chooseFraming();
     if constexpr (std::is_same_v<Head, Poco::Net::HTTPResponse>) {
         const bool isInterim = good && this->partial->head.getStatus() < 200;
@@ -246,14 +257,14 @@
     case Framing::Chunked:
         return this->readChunks();
     case Framing::UntilEnd:
-        return this->buffer.size() > this->limits.maxBodyBytes ? this->fail(bodyTooLarge) : false;
+        return this->rest().size() > this->limits.maxBodyBytes ? this->fail(bodyTooLarge) : false;
     case Framing::Length:
         break;
     }
-    if (this->buffer.size() < this->bodyLength)
+    if (this->rest().size() < this->bodyLength)
         return false;
-    this->partial->body = this->buffer.substr(0, this->bodyLength);
-    this->buffer.erase(0, this->bodyLength);
+    this->partial->body = this->rest().substr(0, this->bodyLength);
+    this->consume(this->bodyLength);
     return true;
 }
 
@@ -270,12 +281,13 @@
 bool HttpReader<Head>::readChunks()
 {
     while (true) {
-        const std::size_t end = this->buffer.find(lineEnd);
+        const std::string_view data = this->rest();
+        const std::size_t end = data.find(lineEnd);
         if (end == std::string::npos)
-            return this->buffer.size() > maxChunkLineBytes ? this->fail(badRequest) : false;
+            return data.size() > maxChunkLineBytes ? this->fail(badRequest) : false;
         if (this->lastChunkSeen) {
             // Trailer fields are dropped; an empty line ends the message.
-            this->buffer.erase(0, end + lineEnd.size());
+            this->consume(end + lineEnd.size());
             if (end == 0)
                 return true;
             if (!this->countFraming(end + lineEnd.size()))
@@ -283,7 +295,7 @@
             continue;
         }
         std::uint64_t size = 0;
-        const char *text = this->buffer.data();
+        const char *text = data.data();
         const auto parsed = std::from_chars(text, text + end, size, 16);
         const bool ended = parsed.ptr == text + end || *parsed.ptr == ';';
         if (end > maxChunkLineBytes || parsed.ec != std::errc() || parsed.ptr == text || !ended)
@@ -294,15 +306,15 @@
         const std::size_t dataOffset = end + lineEnd.size();
         if (size == 0) {
             this->lastChunkSeen = true;
-            this->buffer.erase(0, dataOffset);
+            this->consume(dataOffset);
             continue;
         }
-        if (this->buffer.size() < dataOffset + size + lineEnd.size())
+        if (data.size() < dataOffset + size + lineEnd.size())
             return false;
-        if (this->buffer.compare(dataOffset + size, lineEnd.size(), lineEnd) != 0)
+        if (data.substr(dataOffset + size, lineEnd.size()) != lineEnd)
             return this->fail(badRequest);
-        this->partial->body.append(this->buffer, dataOffset, size);
-        this->buffer.erase(0, dataOffset + size + lineEnd.size());
+        this->partial->body.append(data.substr(dataOffset, size));
+        this->consume(dataOffset + size + lineEnd.size());
         if (!this->countFraming(dataOffset + lineEnd.size()))
             return false;
     }
--- a/src/connection/httpreader.h
+++ b/src/connection/httpreader.h
@@ -44,7 +44,15 @@
     {}
 
     // Adds received bytes to the buffer.
-    void feed(std::string_view bytes) { this->buffer.append(bytes); }
+    void feed(std::string_view bytes)
+    {
+        // Moves what is left only if that is less than what was used.
+        if (this->used > this->buffer.size() / 2) {
+            this->buffer.erase(0, this->used);
+            this->used = 0;
+        }
+        this->buffer.append(bytes);
+    }
 
     // Removes the next complete message from the buffer and returns it, or nothing if there is
     // none. After an error, errorStatus returns the HTTP status to answer with, and no more
@@ -65,11 +73,11 @@
     // Returns the number of bytes that are held for messages which are not complete.
     std::size_t bufferedBytes() const
     {
-        return this->buffer.size() + (this->partial ? this->partial->body.size() : 0);
+        return this->rest().size() + (this->partial ? this->partial->body.size() : 0);
     }
 
     // True if part of a message has been parsed or bytes are buffered.
-    bool hasPartial() const { return this->partial || !this->buffer.empty(); }
+    bool hasPartial() const { return this->partial || !this->rest().empty(); }
 
 private:
     // How the end of a body is determined.
@@ -87,11 +95,17 @@
     bool countFraming(std::size_t bytes);
     // Sets the error and returns false.
     bool fail(int status);
+    // The buffered bytes that are not parsed yet.
+    std::string_view rest() const { return std::string_view(this->buffer).substr(this->used); }
+    // Drops the first bytes of the rest.
+    void consume(std::size_t bytes);
     // Returns the message and resets the parser for the next one.
     HttpMessage<Head> take();
 
     HttpLimits limits;
+    // The first bytes, as many as used says, are parsed.
     std::string buffer;
+    std::size_t used = 0;
     std::optional<HttpMessage<Head>> partial;
     Framing framing = Framing::Length;
     std::size_t bodyLength = 0;
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -3,6 +3,8 @@
 
 #include "connection/httpreader.h"
 #include "connection/tcpstream.h"
+#include "process/loglimiter.h"
+#include "process/metrics.h"
 
 #include <functional>
 #include <memory>
@@ -83,6 +85,14 @@
     // Time that a connection may stay open without a request.
     Millis idleTimeout = Millis(60'000);
     std::size_t maxConnections = 4096;
+    // Reading from a connection pauses while a request is handled and more than this is buffered,
+    // or more than one head and one body by the limits.
+    std::size_t minReadAheadBytes = 65'536;
+    // While more bytes of answers are unsent than this, nothing is read and no further request is
+    // handled.
+    std::size_t maxUnsentBytes = 262'144;
+    // Time after which a connection is closed whose unsent bytes make no progress.
+    Millis progressTimeout = Millis(10'000);
     // Time after which the delivery of an answer is no longer observed.
     Millis maxDeliveryTime = Millis(60);
     // Delay between accepting a connection and reading from it. Lets test servers simulate
@@ -119,12 +129,19 @@
     void closeAll();
 
     std::size_t connectionCount() const { return this->connections.size(); }
+
+    // Returns the number of bytes held for all connections.
+    std::size_t heldBytes() const;
+
     Poco::Net::SocketAddress address() const { return this->socket.address(); }
 
     // Sets a function that is called for each accepted connection; if it returns false, the
     // connection is closed immediately.
     void setAcceptFilter(std::function<bool()> filter) { this->acceptFilter = std::move(filter); }
 
+    // Sets the server's name in log lines and where closed and paused connections are counted.
+    void setLimitReports(std::string name, Metrics &counters);
+
     // Makes the open connections silent: they stay open, but nothing more is handled or answered.
     // Simulates a searcher that stops responding.
     void silenceOpenConnections();
@@ -137,6 +154,10 @@
     friend class HttpServerConnection;
 
     HttpServer(EventLoop &loop, const HttpServerOptions &options, HttpHandler handler);
+    // Logs and counts a connection that is closed because its peer exceeds a limit.
+    void reportLimited(const std::string &reason, std::size_t heldBytes);
+    // Counts a pause of reading.
+    void reportReadPause();
     // Accepts a connection. Returns false if none is waiting.
     bool acceptNext();
 
@@ -148,6 +169,9 @@
     std::unordered_set<std::shared_ptr<HttpServerConnection>> connections;
     bool accepting = true;
     bool keepAliveDisabled = false;
+    std::string name = "http";
+    Metrics *metrics = nullptr;
+    LogLimiter limitedLog = LogLimiter(Millis(1000));
 };
 
 } // namespace quetzal
--- a/src/connection/tcpstream.cpp
+++ b/src/connection/tcpstream.cpp
@@ -75,38 +75,67 @@
 {
     if (!this->open)
         return;
+    // Only what the kernel does not take at once is copied.
+    if (this->connected && this->pendingBytes() == 0)
+        bytes.remove_prefix(this->send(bytes));
     this->buffer.append(bytes);
-    if (this->connected)
-        this->flush();
+    this->updateWriteWatch();
 }
 
-void TcpStream::flush()
+std::size_t TcpStream::send(std::string_view bytes)
 {
+    std::size_t count = 0;
     try {
-        while (!this->buffer.empty()) {
-            const int sent = this->socket.sendBytes(this->buffer.data(),
-                                                    static_cast<int>(this->buffer.size()));
+        while (count < bytes.size()) {
+            const int sent = this->socket.sendBytes(bytes.data() + count,
+                                                    static_cast<int>(bytes.size() - count));
             if (sent <= 0)
                 break;
-            this->written += static_cast<std::uint64_t>(sent);
-            this->buffer.erase(0, static_cast<std::size_t>(sent));
+            count += static_cast<std::size_t>(sent);
         }
     } catch (const Poco::Exception &error) {
         // POCO throws an exception if the kernel's send buffer is full.
         const bool full = error.code() == POCO_EAGAIN || error.code() == POCO_EWOULDBLOCK;
-        if (!full) {
-            // Posted because callers of write do not expect onClosed to be called inside it.
+        // Posted because callers of write do not expect onClosed to be called inside it.
+        if (!full)
             this->loop.post([self = this->shared_from_this()] { self->fail(); });
-            return;
-        }
     }
-    const bool wants = !this->buffer.empty();
+    this->written += count;
+    return count;
+}
+
+void TcpStream::flush()
+{
+    this->sentFromBuffer += this->send(std::string_view(this->buffer).substr(this->sentFromBuffer));
+    if (this->pendingBytes() == 0) {
+        // Also releases the memory: it could be large, and there may be thousands of connections.
+        this->buffer = std::string();
+        this->sentFromBuffer = 0;
+    } else if (this->sentFromBuffer > this->buffer.size() / 2) {
+        // Moves each byte once on average.
+        this->buffer.erase(0, this->sentFromBuffer);
+        this->sentFromBuffer = 0;
+    }
+    this->updateWriteWatch();
+}
+
+void TcpStream::updateWriteWatch()
+{
+    const bool wants = !this->connected || this->pendingBytes() > 0;
     if (wants == this->wantsWrite)
         return;
     this->wantsWrite = wants;
     this->loop.wantWrite(this->socket, wants);
 }
 
+void TcpStream::pauseReading(bool pause)
+{
+    if (!this->open || this->readingPaused == pause)
+        return;
+    this->readingPaused = pause;
+    this->loop.wantRead(this->socket, !pause);
+}
+
 void TcpStream::onWritable()
 {
     if (!this->open)
@@ -128,7 +157,13 @@
         if (!this->open)
             return;
     }
+    const std::uint64_t writtenBefore = this->written;
     this->flush();
+    if (this->written == writtenBefore || !this->callbacks.onWritten)
+        return;
+    // Copied because the owner may close the stream in the call, which drops the callbacks.
+    const std::function<void()> onWritten = this->callbacks.onWritten;
+    onWritten();
 }
 
 void TcpStream::onReadable()
@@ -140,7 +175,8 @@
     try {
         // What remains is reported as readable again, after other sockets and timers had their
         // turn.
-        for (int reads = 0; this->open && reads < maxReadsPerEvent; ++reads) {
+        for (int reads = 0; this->open && !this->readingPaused && reads < maxReadsPerEvent;
+             ++reads) {
             const int count
                     = this->socket.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
             if (count < 0)
--- a/src/connection/tcpstream.h
+++ b/src/connection/tcpstream.h
@@ -19,6 +19,8 @@
 struct StreamCallbacks
 {
     std::function<void()> onConnected;
+    // Called after buffered bytes were passed to the kernel, except from within write.
+    std::function<void()> onWritten;
     std::function<void(std::string_view data)> onData;
     std::function<void()> onClosed;
 };
@@ -41,6 +43,11 @@
     // Passes as many bytes as possible to the kernel and buffers the rest until it is writable.
     void write(std::string_view bytes);
 
+    // Stops reading, or starts again. While reading is paused, a peer's reset is still noticed, but
+    // not the orderly end of its stream.
+    void pauseReading(bool pause);
+    bool isReadingPaused() const { return this->readingPaused; }
+
     // Closes the sending side of the connection. Call once no bytes are pending.
     void shutdownWrite();
 
@@ -64,7 +71,7 @@
     std::size_t unacknowledgedBytes() const;
 
     // Returns the number of buffered bytes that have not been passed to the kernel.
-    std::size_t pendingBytes() const { return this->buffer.size(); }
+    std::size_t pendingBytes() const { return this->buffer.size() - this->sentFromBuffer; }
 
     void onReadable() override;
     void onWritable() override;
@@ -73,18 +80,24 @@
 private:
     TcpStream(EventLoop &loop, const Poco::Net::StreamSocket &socket, StreamCallbacks callbacks);
     void flush();
+    void updateWriteWatch();
+    // Passes bytes to the kernel and returns how many it took.
+    std::size_t send(std::string_view bytes);
     void fail();
     void setOptions();
 
     EventLoop &loop;
     Poco::Net::StreamSocket socket;
     StreamCallbacks callbacks;
+    // Bytes from sentFromBuffer on are not passed to the kernel yet.
     std::string buffer;
+    std::size_t sentFromBuffer = 0;
     std::uint64_t written = 0;
     bool connected = false;
     bool open = true;
     bool eofReceived = false;
     bool wantsWrite = false;
+    bool readingPaused = false;
 };
 
 } // namespace quetzal
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -36,6 +36,7 @@
             [this](const std::shared_ptr<HttpExchange> &exchange) {
                 this->onAdminRequest(exchange);
             });
+    this->adminServer->setLimitReports("admin", this->controlMetrics);
     this->controlLoop.onPause([this](Millis gap) {
         logEvent(LogEvent::ProcessPaused, "gap_ms=" + std::to_string(gap.count()));
         this->controlMetrics.add(Counter::Pauses);
@@ -108,6 +109,7 @@
             [service](const std::shared_ptr<HttpExchange> &exchange) {
                 service->onRequest(exchange);
             });
+    entry->server->setLimitReports("callers", entry->metrics);
     this->entries.push_back(std::move(entry));
 }
 
--- a/src/process/eventloop.cpp
+++ b/src/process/eventloop.cpp
@@ -25,9 +25,9 @@
 EventLoop::~EventLoop()
 {
     // Destructors of handlers call remove, so the map must be in a valid state when they run.
-    auto removedHandlers = std::move(this->handlers);
-    this->handlers.clear();
-    removedHandlers.clear();
+    auto removedWatches = std::move(this->watches);
+    this->watches.clear();
+    removedWatches.clear();
     this->timers.clear();
     Task *task = nullptr;
     while (this->tasks.pop(task))
@@ -78,28 +78,46 @@
     this->timerDeadlines.erase(time);
 }
 
+static int pollMode(bool wantsRead, bool wantsWrite)
+{
+    using Poco::Net::PollSet;
+    return PollSet::POLL_ERROR | (wantsRead ? PollSet::POLL_READ : 0)
+           | (wantsWrite ? PollSet::POLL_WRITE : 0);
+}
+
 void EventLoop::add(const Poco::Net::Socket &socket, const std::shared_ptr<EventHandler> &handler,
                     bool wantWrite)
 {
-    using Poco::Net::PollSet;
-    this->handlers[socket.impl()] = handler;
-    const int mode
-            = PollSet::POLL_READ | PollSet::POLL_ERROR | (wantWrite ? PollSet::POLL_WRITE : 0);
-    this->poll.add(socket, mode);
+    this->watches[socket.impl()] = { handler, true, wantWrite };
+    this->poll.add(socket, pollMode(true, wantWrite));
+}
+
+void EventLoop::updateMode(const Poco::Net::Socket &socket, const Watch &watch)
+{
+    this->poll.update(socket, pollMode(watch.wantsRead, watch.wantsWrite));
 }
 
 void EventLoop::wantWrite(const Poco::Net::Socket &socket, bool want)
 {
-    using Poco::Net::PollSet;
-    if (!this->handlers.contains(socket.impl()))
+    const auto found = this->watches.find(socket.impl());
+    if (found == this->watches.end())
+        return;
+    found->second.wantsWrite = want;
+    this->updateMode(socket, found->second);
+}
+
+void EventLoop::wantRead(const Poco::Net::Socket &socket, bool want)
+{
+    const auto found = this->watches.find(socket.impl());
+    if (found == this->watches.end() || found->second.wantsRead == want)
         return;
-    const int mode = PollSet::POLL_READ | PollSet::POLL_ERROR | (want ? PollSet::POLL_WRITE : 0);
-    this->poll.update(socket, mode);
+    found->second.wantsRead = want;
+    this->updateMode(socket, found->second);
 }
 
 void EventLoop::remove(const Poco::Net::Socket &socket)
 {
-    if (this->handlers.erase(socket.impl()) > 0)
+    if (this->watches.erase(socket.impl()) > 0)
         this->poll.remove(socket);
 }
 
@@ -147,16 +165,16 @@
             while (this->wakeSocket.receiveFrom(buffer.data(), buffer.size(), from) > 0) {}
             continue;
         }
-        const auto found = this->handlers.find(socket.impl());
-        if (found == this->handlers.end())
+        const auto found = this->watches.find(socket.impl());
+        if (found == this->watches.end())
             continue;
         // Keeps the handler alive, as it may remove itself.
-        const std::shared_ptr<EventHandler> handler = found->second;
+        const std::shared_ptr<EventHandler> handler = found->second.handler;
         if (mode & PollSet::POLL_WRITE)
             handler->onWritable();
         if (mode & PollSet::POLL_READ)
             handler->onReadable();
-        if ((mode & PollSet::POLL_ERROR) && this->handlers.contains(socket.impl()))
+        if ((mode & PollSet::POLL_ERROR) && this->watches.contains(socket.impl()))
             handler->onSocketError();
     }
 }
--- a/src/process/eventloop.h
+++ b/src/process/eventloop.h
@@ -69,6 +69,9 @@
 
     // Starts or stops to watch a socket for writing.
     void wantWrite(const Poco::Net::Socket &socket, bool want);
+
+    // Stops to watch a socket for reading, or starts again. Errors are reported either way.
+    void wantRead(const Poco::Net::Socket &socket, bool want);
     void remove(const Poco::Net::Socket &socket);
 
     // Adds a function that is called with the length of a pause of the process, before the data
@@ -86,6 +89,16 @@
         Task task;
     };
 
+    // A socket's handler and the events it is watched for.
+    struct Watch
+    {
+        std::shared_ptr<EventHandler> handler;
+        bool wantsRead = true;
+        bool wantsWrite = false;
+    };
+
+    // Passes the events of a watch to the kernel.
+    void updateMode(const Poco::Net::Socket &socket, const Watch &watch);
     Poco::Net::PollSet::SocketModeMap waitForSockets(Millis wait);
     void processEvents(const Poco::Net::PollSet::SocketModeMap &ready);
     Millis pollTimeout(Millis now) const;
@@ -95,7 +108,7 @@
     void notifyPauseHandlers(Millis gap);
 
     Poco::Net::PollSet poll;
-    std::unordered_map<Poco::Net::SocketImpl *, std::shared_ptr<EventHandler>> handlers;
+    std::unordered_map<Poco::Net::SocketImpl *, Watch> watches;
     std::multimap<Millis, Timer> timers;
     std::unordered_map<TimerId, Millis> timerDeadlines;
     TimerId lastTimer = 0;
--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -111,6 +111,10 @@
                 [this](const std::shared_ptr<HttpExchange> &exchange) {
                     this->onMetrics(*exchange);
                 });
+    this->callerServer->setLimitReports("callers", this->metrics);
+    this->readinessServer->setLimitReports("ready", this->metrics);
+    if (this->metricsServer)
+        this->metricsServer->setLimitReports("metrics", this->metrics);
     this->loop.onPause([this](Millis gap) {
         logEvent(LogEvent::ProcessPaused, "gap_ms=" + std::to_string(gap.count()));
         this->metrics.add(Counter::Pauses);
