A budget for the bytes held for connections

limits.memory_mb (default 256): a quarter of it may be held for the connections of the callers, ready, metrics and view addresses and for partial replies of searchers. Beyond that, the connections with the largest product of bytes and time since their last progress are closed until three quarters of the budget are held. memory-limited and memory-relieved are logged at most once every 5 s.

--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "connection/httpreader.h"
+#include "connection/memorybudget.h"
 #include "connection/tcpstream.h"
 #include "process/loglimiter.h"
 #include "process/metrics.h"
@@ -142,6 +143,12 @@
     // Sets the server's name in log lines and where closed and paused connections are counted.
     void setLimitReports(std::string name, Metrics &counters);
 
+    // Sets the budget that connections accepted from now on share with others of the process.
+    void setMemoryBudget(std::shared_ptr<MemoryBudget> budget)
+    {
+        this->memoryBudget = std::move(budget);
+    }
+
     // Makes the open connections silent: they stay open, but nothing more is handled or answered.
     // Simulates a searcher that stops responding.
     void silenceOpenConnections();
@@ -171,6 +178,7 @@
     bool keepAliveDisabled = false;
     std::string name = "http";
     Metrics *metrics = nullptr;
+    std::shared_ptr<MemoryBudget> memoryBudget;
     LogLimiter limitedLog = LogLimiter(Millis(1000));
 };
 
--- a/src/connection/httpserverconnection.cpp
+++ b/src/connection/httpserverconnection.cpp
@@ -40,6 +40,11 @@
             self->onClosed();
     };
     this->stream = TcpStream::accept(this->loop, socket, std::move(callbacks));
+    if (server.memoryBudget)
+        this->account = std::make_unique<MemoryAccount>(server.memoryBudget, [weak] {
+            if (const auto self = weak.lock())
+                self->dropLimited("memory");
+        });
     this->roundTrip = this->stream->roundTrip();
     this->armTimer(server.options.idleTimeout);
 }
@@ -110,6 +115,12 @@
         this->armTimer(owner->options.requestTimeout);
     }
     this->reader.feed(data);
+    this->updateAccount();
+    // Here no request is being handled, so that any connection may be closed.
+    if (this->account)
+        this->account->enforce(SteadyClock::now());
+    if (!this->stream->isOpen())
+        return;
     this->handleNext();
     this->updateReading();
 }
@@ -129,8 +140,15 @@
     return owner && this->stream->pendingBytes() > owner->options.maxUnsentBytes;
 }
 
+void HttpServerConnection::updateAccount()
+{
+    if (this->account)
+        this->account->set(this->heldBytes(), SteadyClock::now());
+}
+
 void HttpServerConnection::updateReading()
 {
+    this->updateAccount();
     const auto owner = this->server.lock();
     if (!owner || !this->stream->isOpen())
         return;
@@ -227,6 +245,7 @@
         this->progressedAt = SteadyClock::now();
     this->stream->write(text);
     this->armProgressTimer();
+    this->updateAccount();
 }
 
 void HttpServerConnection::observeDelivery(Millis respondedAt, Millis pendingAt,
@@ -330,6 +349,7 @@
 {
     this->loop.cancel(this->timer);
     this->loop.cancel(this->progressTimer);
+    this->account.reset();
     const std::shared_ptr<HttpExchange> open = std::move(this->currentExchange);
     this->currentExchange.reset();
     if (open && open->disconnectHandler && !open->answered)
--- a/src/connection/httpserverconnection.h
+++ b/src/connection/httpserverconnection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "connection/httpserver.h"
+#include "connection/memoryaccount.h"
 
 #include <functional>
 #include <memory>
@@ -57,6 +58,8 @@
               const std::string &contentType, bool keepAlive, bool withBody);
     // True if the caller has not taken enough of the earlier answers.
     bool isBlocked() const;
+    // Reports what is held to the budget.
+    void updateAccount();
     // Pauses or resumes reading by what is buffered.
     void updateReading();
     // Polls until the kernel has no unacknowledged bytes, then reports how long that took.
@@ -76,6 +79,8 @@
     HttpReader<Poco::Net::HTTPRequest> reader;
     std::shared_ptr<TcpStream> stream;
     std::shared_ptr<HttpExchange> currentExchange;
+    // Null if the server has no budget.
+    std::unique_ptr<MemoryAccount> account;
     TimerId timer = 0;
     TimerId progressTimer = 0;
     // When the kernel last took bytes of an answer.
--- a/src/connection/searcherlink.cpp
+++ b/src/connection/searcherlink.cpp
@@ -132,6 +132,12 @@
     streamCallbacks.onClosed = [ifBothAlive] {
         ifBothAlive([](SearcherLink &self, const ConnectionPtr &target) { self.onClosed(target); });
     };
+    if (this->memoryBudget)
+        connection->account = std::make_unique<MemoryAccount>(this->memoryBudget, [ifBothAlive] {
+            ifBothAlive([](SearcherLink &self, const ConnectionPtr &target) {
+                self.dropLimited(target);
+            });
+        });
     this->metrics.add(Counter::Connects);
     this->connections.push_back(connection);
     connection->stream = TcpStream::connect(this->loop, this->address, std::move(streamCallbacks));
@@ -191,6 +197,23 @@
         return;
     }
     connection->reader.feed(data);
+    this->readReplies(connection);
+    if (connection->account)
+        connection->account->set(connection->reader.bufferedBytes(), SteadyClock::now());
+}
+
+void SearcherLink::dropLimited(const ConnectionPtr &connection)
+{
+    const std::shared_ptr<SearcherLink> self = this->shared_from_this();
+    this->metrics.add(Counter::LimitedConnections);
+    if (connection->work)
+        this->fail(connection, Fault::ConnectionReset);
+    else
+        this->drop(connection);
+}
+
+void SearcherLink::readReplies(const ConnectionPtr &connection)
+{
     while (connection->work) {
         std::optional<HttpResponse> response = connection->reader.next();
         if (connection->reader.errorStatus() != 0) {
@@ -281,6 +304,7 @@
 void SearcherLink::drop(const ConnectionPtr &connection)
 {
     std::erase(this->connections, connection);
+    connection->account.reset();
     connection->stream->close();
 }
 
@@ -288,6 +312,7 @@
 {
     const std::shared_ptr<SearcherLink> self = this->shared_from_this();
     std::erase(this->connections, connection);
+    connection->account.reset();
     if (!connection->hasAnswered && !connection->stream->hasReceivedEof())
         this->singleConnectionUntil = SteadyClock::now() + singleConnectionTime;
     if (!connection->work) {
--- a/src/connection/searcherlink.h
+++ b/src/connection/searcherlink.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection/httpcodec.h"
+#include "connection/memoryaccount.h"
 #include "connection/tcpstream.h"
 #include "process/metrics.h"
 #include "quetzal/fault.h"
@@ -68,6 +69,12 @@
         return now < this->singleConnectionUntil ? 1 : maxConnections;
     }
 
+    // Sets the budget for partial replies. Connections that hold too much are closed.
+    void setMemoryBudget(std::shared_ptr<MemoryBudget> budget)
+    {
+        this->memoryBudget = std::move(budget);
+    }
+
     // Closes each connection as soon as it is idle. For a searcher that is no longer used.
     void retire() { this->retired = true; }
 
@@ -93,6 +100,8 @@
 
         std::shared_ptr<TcpStream> stream;
         HttpReader<Poco::Net::HTTPResponse> reader;
+        // Null if the link has no budget.
+        std::unique_ptr<MemoryAccount> account;
         // The attempt that was sent and not answered yet.
         std::optional<Work> work;
         bool abandoned = false;
@@ -115,6 +124,10 @@
     using ConnectionPtr = std::shared_ptr<Connection>;
 
     void openConnection();
+    // Reads replies until one is incomplete.
+    void readReplies(const ConnectionPtr &connection);
+    // Closes a connection whose reply holds too much memory.
+    void dropLimited(const ConnectionPtr &connection);
     void dispatchWaiting();
     void dropLate(Millis now);
     void send(const ConnectionPtr &connection, Work &&work);
@@ -135,6 +148,7 @@
     std::string searcher;
     Poco::Net::SocketAddress address;
     SearcherLinkCallbacks callbacks;
+    std::shared_ptr<MemoryBudget> memoryBudget;
     std::uint32_t maxConnections = 1;
     Millis singleConnectionUntil;
     bool retired = false;
--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -19,6 +19,11 @@
 // Part of it in which the failures of the last requests are sent.
 static constexpr Millis failureSendTime = Millis(200);
 static constexpr Millis drainCheckPeriod = Millis(50);
+// Part of the machine's memory that may be held for connections. Copies, buffers that grow and the
+// tables need the rest.
+static constexpr std::size_t connectionMemoryDivisor = 4;
+// Time without closed connections after which memory counts as relieved.
+static constexpr Millis memoryReliefTime = Millis(5000);
 static constexpr Millis purgePeriod = Millis(10'000);
 
 static std::uint64_t randomSeed(const std::string &name)
@@ -115,6 +120,7 @@
     this->readinessServer->setLimitReports("ready", this->metrics);
     if (this->metricsServer)
         this->metricsServer->setLimitReports("metrics", this->metrics);
+    this->limitMemory();
     this->loop.onPause([this](Millis gap) {
         logEvent(LogEvent::ProcessPaused, "gap_ms=" + std::to_string(gap.count()));
         this->metrics.add(Counter::Pauses);
@@ -123,6 +129,49 @@
     });
 }
 
+void GatewayProcess::limitMemory()
+{
+    static constexpr std::size_t bytesPerMegabyte = 1'048'576;
+    this->memoryBudget = std::make_shared<MemoryBudget>(this->settings.memoryMb * bytesPerMegabyte
+                                                        / connectionMemoryDivisor);
+    this->memoryBudget->onExceeded([this] {
+        this->loop.post([this] { this->memoryBudget->enforce(SteadyClock::now()); });
+    });
+    this->memoryBudget->onEnforced([this](std::size_t closed) { this->onMemoryEnforced(closed); });
+    this->scatters.setMemoryBudget(this->memoryBudget);
+    this->exchange->setMemoryBudget(this->memoryBudget);
+    this->callerServer->setMemoryBudget(this->memoryBudget);
+    this->readinessServer->setMemoryBudget(this->memoryBudget);
+    if (this->metricsServer)
+        this->metricsServer->setMemoryBudget(this->memoryBudget);
+}
+
+void GatewayProcess::onMemoryEnforced(std::size_t closed)
+{
+    const bool isFirst = this->closedForMemory == 0;
+    this->closedForMemory += closed;
+    this->memoryEnforcedAt = SteadyClock::now();
+    if (!isFirst)
+        return;
+    logEvent(LogEvent::MemoryLimited,
+             "held_bytes=" + std::to_string(this->memoryBudget->heldBytes())
+                     + " limit_bytes=" + std::to_string(this->memoryBudget->limitBytes()));
+    this->checkMemoryRelieved();
+}
+
+void GatewayProcess::checkMemoryRelieved()
+{
+    const Millis relievedAt = this->memoryEnforcedAt + memoryReliefTime;
+    if (SteadyClock::now() < relievedAt) {
+        this->loop.schedule(relievedAt, [this] { this->checkMemoryRelieved(); });
+        return;
+    }
+    logEvent(LogEvent::MemoryRelieved,
+             "held_bytes=" + std::to_string(this->memoryBudget->heldBytes())
+                     + " closed=" + std::to_string(this->closedForMemory));
+    this->closedForMemory = 0;
+}
+
 HttpServerOptions GatewayProcess::callerOptions() const
 {
     HttpServerOptions options;
@@ -192,6 +241,7 @@
     text << "quetzal_exhausted_allowances " << this->allowances.exhaustedCount() << "\n";
     text << "quetzal_unconfirmed_allowances " << this->allowances.unconfirmedCount() << "\n";
     text << "quetzal_cold_searchers " << this->scatters.coldSearchers() << "\n";
+    text << "quetzal_connection_memory_bytes " << this->memoryBudget->heldBytes() << "\n";
     text << "quetzal_running_requests " << this->gateway.runningRequests() << "\n";
     text << "quetzal_caller_connections " << this->callerServer->connectionCount() << "\n";
     exchange.respond(statusOk, {}, text.str(), "text/plain; version=0.0.4");
--- a/src/process/gatewayprocess.h
+++ b/src/process/gatewayprocess.h
@@ -61,6 +61,11 @@
     void purge();
     void stopAccepting();
     void waitForDrain();
+    // Sets up the budget of bytes that all connections together may hold.
+    void limitMemory();
+    // Logs that connections are closed because of the budget, and later that no more are.
+    void onMemoryEnforced(std::size_t closed);
+    void checkMemoryRelieved();
     HttpServerOptions callerOptions() const;
     ScatterExecutorOptions scatterOptions() const;
 
@@ -80,6 +85,10 @@
     std::shared_ptr<HttpServer> callerServer;
     std::shared_ptr<HttpServer> readinessServer;
     std::shared_ptr<HttpServer> metricsServer;
+    std::shared_ptr<MemoryBudget> memoryBudget;
+    // Connections that the budget closed since memory-limited was logged; zero if it is not.
+    std::size_t closedForMemory = 0;
+    Millis memoryEnforcedAt;
     bool loggedReady = false;
     std::set<std::string> loggedEvacuations;
     bool stopping = false;
--- a/src/process/gatewaysettings.cpp
+++ b/src/process/gatewaysettings.cpp
@@ -9,6 +9,8 @@
 static constexpr double maxRetrySlack = 1e6;
 static constexpr double minCapacity = 1e-3;
 static constexpr double maxCapacity = 1e3;
+static constexpr std::uint32_t minMemoryMb = 16;
+static constexpr std::uint32_t maxMemoryMb = 1'048'576;
 
 static bool isAddress(const std::string &text)
 {
@@ -111,12 +113,14 @@
     settings.retryWindow = Millis(reader.number(retries, "window_ms", "retries", 1, maxDurationMs,
                                                 false, settings.retryWindow.count()));
     const YAML::Node limits = section(reader, root, "limits", false);
-    reader.allowOnly(limits, "limits", { "grace_ms", "change_in_force_ms" });
+    reader.allowOnly(limits, "limits", { "grace_ms", "change_in_force_ms", "memory_mb" });
     settings.grace = Millis(reader.number(limits, "grace_ms", "limits", 0, maxDurationMs, false,
                                           settings.grace.count()));
     settings.changeDeadline
             = Millis(reader.number(limits, "change_in_force_ms", "limits", minChangeDeadlineMs,
                                    maxDurationMs, false, settings.changeDeadline.count()));
+    settings.memoryMb = reader.count(limits, "memory_mb", "limits", minMemoryMb, maxMemoryMb, false,
+                                     settings.memoryMb);
     result.errors = reader.errors();
     return result;
 }
--- a/src/process/gatewaysettings.h
+++ b/src/process/gatewaysettings.h
@@ -40,6 +40,8 @@
     Millis grace = Millis(6000);
     // Time within which a change that the store has accepted is to be in force on every host.
     Millis changeDeadline = Millis(3000);
+    // Memory of the machine in MB; a quarter of it may be held for connections.
+    std::uint32_t memoryMb = 256;
     // Network round-trip time to another zone.
     Millis zoneRoundTrip = Millis(8);
     // Additional expected latency that is accepted before a searcher of another zone is preferred
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -58,6 +58,12 @@
     void start();
 
     // Adds and pings hosts that may exist, given by their view addresses.
+    // Makes connections of the view address share a budget.
+    void setMemoryBudget(std::shared_ptr<MemoryBudget> budget)
+    {
+        this->server->setMemoryBudget(std::move(budget));
+    }
+
     void addSeeds(const std::vector<std::string> &seeds);
 
     // Announces that this host is leaving.
--- a/src/request/scatterexecutor.cpp
+++ b/src/request/scatterexecutor.cpp
@@ -250,6 +250,7 @@
     target->link = std::make_shared<SearcherLink>(this->loop, this->metrics, this->codec,
                                                   registration.id, registration.address,
                                                   std::move(callbacks));
+    target->link->setMemoryBudget(this->memoryBudget);
     this->applyMaxConnections(*target);
     target->pool->add(target->searcher);
     return target;
--- a/src/request/scatterexecutor.h
+++ b/src/request/scatterexecutor.h
@@ -76,6 +76,12 @@
     // Applies the registrations and tables of the serving view.
     void onViewChanged();
 
+    // Sets the budget for partial replies of searchers that are registered from now on.
+    void setMemoryBudget(std::shared_ptr<MemoryBudget> budget)
+    {
+        this->memoryBudget = std::move(budget);
+    }
+
     // Sets the capacity of the fleet in units of this host's capacity. The budget and the
     // searchers' connections are divided by it. Values below one are ignored.
     void setFleetCapacity(double capacity);
@@ -183,6 +189,7 @@
     EventLoop &loop;
     Metrics &metrics;
     const HttpCodec &codec;
+    std::shared_ptr<MemoryBudget> memoryBudget;
     const ServingView &view;
     ScatterExecutorOptions options;
     double fleetCapacity;
