Servers make room for new connections at their limits; limits documented

At the limit of connections or descriptors the connection that has been idle longest is closed for a new one. A quarter of the descriptors, at most 64, is left for searchers, hosts and files. If accepting fails for lack of descriptors and no connection is idle, it pauses for 100 ms instead of being reported as ready again at once.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -7,6 +7,10 @@
 #include <algorithm>
 #include <numeric>
 
+#include <cerrno>
+
+#include <sys/resource.h>
+
 #include <Poco/Net/NetException.h>
 
 namespace quetzal {
@@ -48,12 +52,55 @@
     this->acceptNext();
 }
 
+// True if few descriptors are free. The kernel gives out the lowest free number, so the latest one
+// tells how many are open.
+static bool isShortOfDescriptors(int latest)
+{
+    // Left for connections to searchers and hosts, and for files: a quarter, at most 64.
+    static constexpr rlim_t maxReserve = 64;
+    rlimit limits = {};
+    if (::getrlimit(RLIMIT_NOFILE, &limits) != 0 || limits.rlim_cur == RLIM_INFINITY)
+        return false;
+    const rlim_t reserve = std::min(maxReserve, limits.rlim_cur / 4);
+    return static_cast<rlim_t>(latest) + reserve >= limits.rlim_cur;
+}
+
+bool HttpServer::closeLongestIdle(const std::string &reason)
+{
+    std::shared_ptr<HttpServerConnection> longest;
+    for (const auto &connection : this->connections) {
+        if (connection->isIdle()
+            && (!longest || connection->waitingSince() < longest->waitingSince()))
+            longest = connection;
+    }
+    if (!longest)
+        return false;
+    // A request that has just arrived is still read and answered.
+    this->reportLimited(reason, longest->heldBytes());
+    longest->closeGracefully();
+    return true;
+}
+
+void HttpServer::pauseAccepting()
+{
+    static constexpr Millis pauseTime = Millis(100);
+    this->loop.wantRead(this->socket, false);
+    this->loop.schedule(SteadyClock::now() + pauseTime, [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->accepting)
+            self->loop.wantRead(self->socket, true);
+    });
+}
+
 bool HttpServer::acceptNext()
 {
     try {
         const Poco::Net::StreamSocket accepted = this->socket.acceptConnection();
-        const bool full = this->connections.size() >= this->options.maxConnections;
-        if (full || (this->acceptFilter && !this->acceptFilter()))
+        if (this->acceptFilter && !this->acceptFilter())
+            return true;
+        const bool isFull = this->connections.size() >= this->options.maxConnections;
+        const bool isShort = isShortOfDescriptors(accepted.impl()->sockfd());
+        if ((isFull || isShort) && !this->closeLongestIdle(isFull ? "connections" : "descriptors"))
             return true;
         const auto connection = std::make_shared<HttpServerConnection>(*this, this->loop);
         this->connections.insert(connection);
@@ -67,7 +114,13 @@
                                     connection->start(*self, accepted);
                             });
         return true;
-    } catch (const Poco::Exception &) {
+    } catch (const Poco::Exception &error) {
+        if (error.code() == EMFILE || error.code() == ENFILE) {
+            if (this->closeLongestIdle("descriptors"))
+                return true;
+            this->pauseAccepting();
+            return false;
+        }
         // No connection is waiting, or the caller disconnected before it was accepted.
         return false;
     }
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -165,7 +165,11 @@
     void reportLimited(const std::string &reason, std::size_t heldBytes);
     // Counts a pause of reading.
     void reportReadPause();
-    // Accepts a connection. Returns false if none is waiting.
+    // Closes the connection that has been idle longest. Returns false if none is idle.
+    bool closeLongestIdle(const std::string &reason);
+    // Stops accepting for a short time, because no file descriptor is free.
+    void pauseAccepting();
+    // Accepts a connection. Returns false if none is waiting or none can be accepted now.
     bool acceptNext();
 
     EventLoop &loop;
--- a/src/connection/httpserverconnection.cpp
+++ b/src/connection/httpserverconnection.cpp
@@ -46,6 +46,7 @@
                 self->dropLimited("memory");
         });
     this->roundTrip = this->stream->roundTrip();
+    this->idleSince = SteadyClock::now();
     this->armTimer(server.options.idleTimeout);
 }
 
@@ -68,6 +69,7 @@
         this->closeWhenSent();
         return;
     }
+    this->idleSince = respondedAt;
     this->armTimer(owner->options.idleTimeout);
     this->handleNext();
     this->updateReading();
@@ -98,6 +100,12 @@
     this->drop();
 }
 
+bool HttpServerConnection::isIdle() const
+{
+    return this->stream != nullptr && !this->isBusy() && !this->silent
+           && this->stream->pendingBytes() == 0;
+}
+
 std::size_t HttpServerConnection::heldBytes() const
 {
     const std::size_t unsent = this->stream != nullptr ? this->stream->pendingBytes() : 0;
--- a/src/connection/httpserverconnection.h
+++ b/src/connection/httpserverconnection.h
@@ -41,6 +41,12 @@
 
     bool isBusy() const { return this->currentExchange != nullptr || this->reader.hasPartial(); }
 
+    // True if no request has begun and no answer is unsent.
+    bool isIdle() const;
+
+    // Returns when the connection was accepted or last answered a request.
+    Millis waitingSince() const { return this->idleSince; }
+
     // Returns the number of bytes held for the connection.
     std::size_t heldBytes() const;
 
@@ -86,6 +92,7 @@
     // When the kernel last took bytes of an answer.
     Millis progressedAt;
     Millis roundTrip;
+    Millis idleSince;
     bool isFirst = true;
     bool closeAfterAnswer = false;
     // handleNext is running.
