Connections stay below the reserve of descriptors

A crowd of 100 idle callers took 63 or 64 of 64 descriptors, although a quarter was to stay free: the descriptor of a new connection was taken for the number of open ones, but every second connection gets the low number of the one that was just closed for its predecessor. The number of connections at which descriptors ran short now stays a limit for ten seconds. The same crowd leaves 48 of 64.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -52,8 +52,8 @@
     this->acceptNext();
 }
 
-// True if few descriptors are free. The kernel gives out the lowest free number, so the latest one
-// tells how many are open.
+// True if few descriptors are free. The kernel gives out the lowest free number, so a high one
+// means that all below it are open.
 static bool isShortOfDescriptors(int latest)
 {
     // Left for connections to searchers and hosts, and for files: a quarter, at most 64.
@@ -65,6 +65,21 @@
     return static_cast<rlim_t>(latest) + reserve >= limits.rlim_cur;
 }
 
+// A low number says nothing, as it may belong to a connection that was closed for the previous one.
+// The number of connections at which descriptors ran short therefore stays a limit for a while.
+bool HttpServer::detectShortage(int descriptor)
+{
+    static constexpr Millis memory = Millis(10'000);
+    const Millis now = SteadyClock::now();
+    if (isShortOfDescriptors(descriptor)) {
+        this->connectionsWhenShort = this->connections.size();
+        this->shortageAt = now;
+        return true;
+    }
+    return now - this->shortageAt < memory
+           && this->connections.size() >= this->connectionsWhenShort;
+}
+
 bool HttpServer::closeLongestIdle(const std::string &reason)
 {
     std::shared_ptr<HttpServerConnection> longest;
@@ -99,7 +114,7 @@
         if (this->acceptFilter && !this->acceptFilter())
             return true;
         const bool isFull = this->connections.size() >= this->options.maxConnections;
-        const bool isShort = isShortOfDescriptors(accepted.impl()->sockfd());
+        const bool isShort = this->detectShortage(accepted.impl()->sockfd());
         if ((isFull || isShort) && !this->closeLongestIdle(isFull ? "connections" : "descriptors"))
             return true;
         const auto connection = std::make_shared<HttpServerConnection>(*this, this->loop);
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -167,6 +167,8 @@
     void reportReadPause();
     // Closes the connection that has been idle longest. Returns false if none is idle.
     bool closeLongestIdle(const std::string &reason);
+    // Returns true if few descriptors are free, given the one of a connection just accepted.
+    bool detectShortage(int descriptor);
     // Stops accepting for a short time, because no file descriptor is free.
     void pauseAccepting();
     // Accepts a connection. Returns false if none is waiting or none can be accepted now.
@@ -179,6 +181,9 @@
     Poco::Net::ServerSocket socket;
     std::unordered_set<std::shared_ptr<HttpServerConnection>> connections;
     bool accepting = true;
+    // Number of connections when descriptors last ran short, and when that was.
+    std::size_t connectionsWhenShort = 0;
+    Millis shortageAt = Millis(-1e9);
     bool keepAliveDisabled = false;
     std::string name = "http";
     Metrics *metrics = nullptr;
