Tests: what the linter found

A captured structured binding, an inner loop without reserved capacity, a const local that is returned and a long string literal constructor. No check changes.

--- a/tests/connectionlimittest.cpp
+++ b/tests/connectionlimittest.cpp
@@ -113,8 +113,10 @@
 {
     HttpServerOptions options;
     options.progressTimeout = Millis(100);
-    LimitedConnection connection(options, [](const std::shared_ptr<HttpExchange> &exchange) {
-        exchange->respond(200, {}, std::string(20'000'000, 'b'));
+    std::string body;
+    body.resize(20'000'000, 'b');
+    LimitedConnection connection(options, [body](const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->respond(200, {}, body);
     });
     Metrics metrics("test");
     connection.server->setLimitReports("test", metrics);
--- a/tests/loadreporttest.cpp
+++ b/tests/loadreporttest.cpp
@@ -26,13 +26,12 @@
     CHECK(plain->slots == 2);
     CHECK(plain->slowness == 1);
     CHECK_FALSE(plain->isSlownessIgnored);
-    for (const auto &[value, slowness] :
-         { std::pair("3,4,2,100", 1.0), std::pair("3,4,2,85", 0.85), std::pair("3,4,2,10", 0.1),
-           std::pair("3,4,2,10000", 100.0) }) {
-        const auto report = loadIn(value);
-        REQUIRE_MESSAGE(report, value);
-        CHECK_MESSAGE(report->slowness == slowness, value);
-        CHECK_FALSE_MESSAGE(report->isSlownessIgnored, value);
+    for (const auto &plausible : { std::pair("3,4,2,100", 1.0), std::pair("3,4,2,85", 0.85),
+                                   std::pair("3,4,2,10", 0.1), std::pair("3,4,2,10000", 100.0) }) {
+        const auto report = loadIn(plausible.first);
+        REQUIRE_MESSAGE(report, plausible.first);
+        CHECK_MESSAGE(report->slowness == plausible.second, plausible.first);
+        CHECK_FALSE_MESSAGE(report->isSlownessIgnored, plausible.first);
     }
     for (const char *value : { "3,4,2,0", "3,4,2,-50", "3,4,2,many", "3,4,2,nan", "3,4,2,inf",
                                "3,4,2,9", "3,4,2,10001", "3,4,2,99999999999999999999", "3,4,2,1e2",
--- a/tests/memorybudgettest.cpp
+++ b/tests/memorybudgettest.cpp
@@ -10,6 +10,7 @@
 {
     MemoryBudget budget(1000);
     std::vector<MemoryBudget::AccountId> ids;
+    ids.reserve(10);
     for (int i = 0; i < 10; ++i)
         ids.push_back(budget.open([] {}));
     for (const auto id : ids)
--- a/tests/platformtest.cpp
+++ b/tests/platformtest.cpp
@@ -71,7 +71,7 @@
     item.value = value;
     item.revision = 9;
     std::string problem;
-    const SearcherRegistration registration = readRegistration(item, problem);
+    SearcherRegistration registration = readRegistration(item, problem);
     CHECK(problem.empty() == (registration.state != SearcherState::Gone));
     return registration;
 }
