Review: case 10, hosts that find none of their seeds each keep the allowance alone

Cause: a host that knows no other is its own keeper, and the keeper's answer to itself confirms the level, so that each such host admits at the full rate. Hosts find each other by the seeds alone.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -15,7 +15,7 @@
 for job in $(jobs -p); do
     wait "$job"
 done
-for program in freeze badentry truncated shutdown early; do
+for program in freeze badentry truncated shutdown allowance early; do
     "$compiler" "${flags[@]}" "standin-2/$program.cpp" "${objects[@]}" \
         -o "build/standin-2/$program" &
 done
--- a/review/standin-2/searcher.cpp
+++ b/review/standin-2/searcher.cpp
@@ -34,9 +34,17 @@
 }
 
 std::vector<std::string> Searcher::runs() const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, at] : this->runTimes())
+        ids.push_back(id);
+    return ids;
+}
+
+std::vector<std::pair<std::string, Time>> Searcher::runTimes() const
 {
     const std::lock_guard lock(this->mutex);
-    return this->runIds;
+    return this->runList;
 }
 
 void Searcher::accept()
@@ -117,7 +125,7 @@
                             "");
     {
         const std::lock_guard lock(this->mutex);
-        this->runIds.push_back(id);
+        this->runList.emplace_back(id, Clock::now());
     }
     std::this_thread::sleep_for(std::min(this->searcherPlace.work, Milliseconds(left)));
     const bool isLate = this->searcherPlace.work > Milliseconds(left);
--- a/review/standin-2/searcher.h
+++ b/review/standin-2/searcher.h
@@ -41,6 +41,8 @@
     const SearcherPlace &place() const { return this->searcherPlace; }
     // Returns the ids of the requests that this searcher has begun to run.
     std::vector<std::string> runs() const;
+    // Returns the same with the times at which the runs began.
+    std::vector<std::pair<std::string, Time>> runTimes() const;
 
 private:
     void accept();
@@ -58,7 +60,7 @@
     std::condition_variable slotFree;
     int running = 0;
     int waiting = 0;
-    std::vector<std::string> runIds;
+    std::vector<std::pair<std::string, Time>> runList;
     std::thread acceptor;
     std::vector<std::thread> workers;
 };
--- a/review/standin-2/stage.cpp
+++ b/review/standin-2/stage.cpp
@@ -106,21 +106,31 @@
     return text.str();
 }
 
-std::string Stage::settingsOf(const Machine &machine, const std::string &control,
-                              const Address &store) const
+std::string Stage::settingsOf(const Machine &machine) const
 {
-    std::string text = withoutSection(readFile("deploy/settings.yaml"), "bounds.quotaWindowS");
-    text = replaced(text, R"({{#seeds}}"{{.}}"{{,}}{{/seeds}})",
-                    "\"" + this->started.front().ip + ":" + this->controlPort + "\"");
+    static const std::string quota = "bounds.quotaWindowS";
+    std::string text = readFile("deploy/settings.yaml");
+    if (this->hasAllowances)
+        text = replaced(replaced(text, "{{#" + quota + "}}\n", ""), "{{/" + quota + "}}\n", "");
+    else
+        text = withoutSection(text, quota);
+    std::string list;
+    for (const std::size_t seed : this->seeds)
+        list.append(list.empty() ? "\"" : ", \"")
+                .append(this->started[seed].ip)
+                .append(":")
+                .append(this->controlPort)
+                .append("\"");
+    text = replaced(text, R"({{#seeds}}"{{.}}"{{,}}{{/seeds}})", list);
     const std::map<std::string, std::string> values = {
         { "node", machine.name },
         { "zone", machine.zone },
         { "ip", machine.ip },
         { "listen.front", machine.front.text() },
         { "listen.ready", machine.ready.text() },
-        { "listen.control", control },
+        { "listen.control", machine.ip + ":" + this->controlPort },
         { "internalPortRange.0", this->heartbeatPort },
-        { "platform.address", store.text() },
+        { "platform.address", this->store.text() },
         { "limits.cpuShare", "0.25" },
         { "limits.memoryMb", "260" },
         { "bounds.retryBudgetRatio", "0.2" },
@@ -128,6 +138,9 @@
         { "bounds.retryWindowS", "10" },
         { "bounds.graceS", "6" },
         { "bounds.configApplyMs", "3000" },
+        { "bounds.quotaWindowS", "5" },
+        { "bounds.quotaOver", "0.1" },
+        { "bounds.quotaSlack", "20" },
     };
     for (const auto &[name, value] : values)
         text = replaced(text, std::string("{{").append(name).append("}}"), value);
@@ -152,7 +165,33 @@
     ::_exit(2);
 }
 
-bool Stage::start(const std::vector<std::string> &zones, const Address &store)
+std::string Stage::writeSettings(const Machine &machine) const
+{
+    std::string path = this->temporary + "/" + machine.name + ".toml";
+    std::ofstream(path) << this->settingsOf(machine);
+    return path;
+}
+
+pid_t Stage::launch(const Machine &machine) const
+{
+    return Stage::spawn({ deployedProgram(), "--settings=" + this->writeSettings(machine) },
+                        this->temporary + "/" + machine.name + ".log");
+}
+
+void Stage::restart(std::size_t machine)
+{
+    ::waitpid(this->processes[machine], nullptr, 0);
+    this->processes[machine] = this->launch(this->started[machine]);
+    this->record("start of " + this->started[machine].name);
+}
+
+void Stage::reload(std::size_t machine)
+{
+    this->writeSettings(this->started[machine]);
+    this->signal(machine, SIGHUP);
+}
+
+bool Stage::start(const std::vector<std::string> &zones, const Address &storeAddress)
 {
     this->heartbeatPort = std::to_string(this->freeAddress(1).port);
     this->controlPort = std::to_string(this->freeAddress(1).port);
@@ -166,13 +205,9 @@
                                   { ip, front },
                                   { ip, ready } });
     }
-    for (const Machine &machine : this->started) {
-        const std::string path = this->temporary + "/" + machine.name + ".toml";
-        std::ofstream(path) << this->settingsOf(machine, machine.ip + ":" + this->controlPort,
-                                                store);
-        this->processes.push_back(Stage::spawn({ deployedProgram(), "--settings=" + path },
-                                               this->temporary + "/" + machine.name + ".log"));
-    }
+    this->store = storeAddress;
+    for (const Machine &machine : this->started)
+        this->processes.push_back(this->launch(machine));
     for (const Machine &machine : this->started) {
         const Time until = Clock::now() + std::chrono::seconds(10);
         int status = 0;
--- a/review/standin-2/stage.h
+++ b/review/standin-2/stage.h
@@ -51,8 +51,17 @@
     Address freeAddress(int host);
     // Starts one gateway in each zone, and returns once all are ready. Returns false if one is not
     // ready within ten seconds.
-    bool start(const std::vector<std::string> &zones, const Address &store);
+    bool start(const std::vector<std::string> &zones, const Address &storeAddress);
     const std::vector<Machine> &machines() const { return this->started; }
+    // Has the settings that are written from now on name these machines as seeds. The first machine
+    // is the only seed otherwise.
+    void setSeeds(const std::vector<std::size_t> &machines) { this->seeds = machines; }
+    // Writes the bounds of allowances into the settings, as on the site rpsd-grown.
+    void enableAllowances() { this->hasAllowances = true; }
+    // Starts a gateway anew that was ended by a signal.
+    void restart(std::size_t machine);
+    // Writes a gateway's settings anew and sends SIGHUP to it.
+    void reload(std::size_t machine);
     // Sends a signal to one gateway.
     void signal(std::size_t machine, int number);
     // Starts another program, which ends with this process. Returns its process id, or -1.
@@ -65,8 +74,10 @@
     const std::string &folder() const { return this->temporary; }
 
 private:
-    std::string settingsOf(const Machine &machine, const std::string &control,
-                           const Address &store) const;
+    std::string settingsOf(const Machine &machine) const;
+    // Writes the settings of a machine and returns their path.
+    std::string writeSettings(const Machine &machine) const;
+    pid_t launch(const Machine &machine) const;
 
     bool troubled = true;
     Time startedAt = Clock::now();
@@ -76,6 +87,9 @@
     std::uint64_t lastRequest = 0;
     std::vector<Machine> started;
     std::vector<pid_t> processes;
+    std::vector<std::size_t> seeds = { 0 };
+    bool hasAllowances = false;
+    Address store;
     std::string heartbeatPort;
     std::string controlPort;
 };
