--- a/review/standin-2/allowance.cpp
+++ b/review/standin-2/allowance.cpp
@@ -58,11 +58,13 @@
         const Address front = stage.machines()[targets[count++ % targets.size()]].front;
         const std::string id = stage.nextRequestId();
         sent[id] = Clock::now();
-        threads.emplace_back([front, id] {
+        threads.emplace_back([&stage, front, id] {
             std::string request = makeRequest("GET", "/archive/1", id, Milliseconds(6000));
             request.insert(request.find("\r\n") + 2, "Authorization: Bearer key-a\r\n");
             Connection connection(connectTo(front));
-            exchange(connection, request, Clock::now() + Milliseconds(1500));
+            const Answer answer = exchange(connection, request, Clock::now() + Milliseconds(1500));
+            stage.record("request " + id + " sent to " + front.ip + ": status "
+                         + std::to_string(answer.status));
         });
     }
     for (std::thread &thread : threads)
@@ -82,9 +84,9 @@
     return largest;
 }
 
-int run(const std::string &folder)
+int run(const std::string &recordPath)
 {
-    Stage stage(folder);
+    Stage stage(recordPath);
     const Address storeAddress = stage.freeAddress(200);
     Store store(storeAddress);
     std::vector<std::unique_ptr<Searcher>> searchers;
@@ -131,8 +133,10 @@
     settings.join();
     std::vector<std::pair<Time, Time>> runs;
     for (const auto &searcher : searchers) {
-        for (const auto &[id, at] : searcher->runTimes())
+        for (const auto &[id, at] : searcher->runTimes()) {
+            stage.record("request " + id + " was run by " + searcher->place().id);
             runs.emplace_back(sent.at(id), at);
+        }
     }
     const std::size_t most = largestWindow(runs);
     const double allowed
--- a/review/standin-2/badentry.cpp
+++ b/review/standin-2/badentry.cpp
@@ -59,9 +59,9 @@
     return ranOld;
 }
 
-int run(const std::string &folder)
+int run(const std::string &recordPath)
 {
-    Stage stage(folder);
+    Stage stage(recordPath);
     const Address storeAddress = stage.freeAddress(200);
     Store store(storeAddress);
     std::vector<std::unique_ptr<Searcher>> searchers;
--- a/review/standin-2/freeze.cpp
+++ b/review/standin-2/freeze.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <random>
 #include <sstream>
@@ -98,7 +99,7 @@
 
 private:
     // Returns true if the request was served.
-    bool attempt(Connection &connection, Time until)
+    bool attempt(Connection &connection, std::size_t target, Time until)
     {
         const auto left = std::chrono::duration_cast<Milliseconds>(until - Clock::now());
         const std::string id = this->stage.nextRequestId();
@@ -107,6 +108,11 @@
                 until);
         if (answer.status == 0 || !answer.isComplete)
             connection.close();
+        std::ostringstream line;
+        line << "request " << id << (this->browses ? " catalogue-browse" : " order-lookup")
+             << " sent to " << this->stage.machines()[target].name << " with " << left.count()
+             << " ms left: status " << answer.status;
+        this->stage.record(line.str());
         return answer.status == 200 && answer.isComplete;
     }
 
@@ -116,14 +122,15 @@
         const auto &machines = this->stage.machines();
         if (!kept.isOpen() || kept.isClosedByPeer())
             kept = Connection(connectTo(machines[this->machine].front));
-        if (this->attempt(kept, until))
+        if (this->attempt(kept, this->machine, until))
             return true;
         // Retry-After is a tenth of a second, or absent.
         std::this_thread::sleep_for(Milliseconds(100));
         if (Clock::now() + Milliseconds(10) >= until)
             return false;
-        Connection other(connectTo(machines[(this->machine + 1) % machines.size()].front));
-        return this->attempt(other, until);
+        const std::size_t target = (this->machine + 1) % machines.size();
+        Connection other(connectTo(machines[target].front));
+        return this->attempt(other, target, until);
     }
 
     void run()
@@ -165,9 +172,9 @@
                      + ", served " + std::to_string(counts[i].served));
 }
 
-int run(const std::string &folder)
+int run(const std::string &recordPath)
 {
-    Stage stage(folder);
+    Stage stage(recordPath);
     const Address storeAddress = stage.freeAddress(200);
     Store store(storeAddress);
     std::vector<std::unique_ptr<Searcher>> searchers;
@@ -217,6 +224,13 @@
     std::this_thread::sleep_for(judgedTime);
     stopping = true;
     clients.clear();
+    std::map<std::string, int> runs;
+    for (const auto &searcher : searchers) {
+        for (const std::string &id : searcher->runs())
+            runs[id] += 1;
+    }
+    for (const auto &[id, count] : runs)
+        stage.record("request " + id + " was run " + std::to_string(count) + " times");
     recordCounts(stage, "catalogue-browse", counts.browse);
     recordCounts(stage, "order-lookup", counts.lookup);
     const auto judged = static_cast<std::size_t>(Phase::Judged);
--- a/review/standin-2/shutdown.cpp
+++ b/review/standin-2/shutdown.cpp
@@ -32,9 +32,9 @@
                       { "orders" });
 }
 
-int run(const std::string &folder)
+int run(const std::string &recordPath)
 {
-    Stage stage(folder);
+    Stage stage(recordPath);
     const Address storeAddress = stage.freeAddress(200);
     Store store(storeAddress);
     std::vector<std::unique_ptr<Searcher>> searchers;
@@ -73,6 +73,10 @@
         stage.signal(0, SIGTERM);
     for (std::thread &client : clients)
         client.join();
+    for (const auto &searcher : searchers) {
+        for (const std::string &id : searcher->runs())
+            stage.record("request " + id + " was run by " + searcher->place().id);
+    }
     const std::string result = "answers that ended early: " + std::to_string(cut) + " of "
                                + std::to_string(clientCount) + "; LOST "
                                + (cut > 0 ? "broken" : "held");
--- a/review/standin-2/stage.cpp
+++ b/review/standin-2/stage.cpp
@@ -50,9 +50,9 @@
     return text.substr(begin, text.find(' ', begin) - begin);
 }
 
-Stage::Stage(const std::string &folder)
+Stage::Stage(const std::string &recordPath)
     : temporary((std::filesystem::temp_directory_path() / "review-XXXXXX").string())
-    , recordFile(folder + "/record.txt")
+    , recordFile(recordPath)
 {
     const char *trouble = std::getenv("TROUBLE");
     this->troubled = trouble == nullptr || std::string(trouble) != "0";
--- a/review/standin-2/stage.h
+++ b/review/standin-2/stage.h
@@ -39,8 +39,9 @@
 class Stage
 {
 public:
-    // folder: where record.txt is written. The current folder has to be the repository.
-    explicit Stage(const std::string &folder);
+    // recordPath: the file that the record is written to. The current folder has to be the
+    // repository.
+    explicit Stage(const std::string &recordPath);
     ~Stage();
     Stage(const Stage &) = delete;
     Stage &operator=(const Stage &) = delete;
--- a/review/standin-2/truncated.cpp
+++ b/review/standin-2/truncated.cpp
@@ -4,6 +4,7 @@
 #include "stage.h"
 #include "store.h"
 
+#include <fstream>
 #include <iostream>
 
 #include <csignal>
@@ -49,10 +50,14 @@
     store.put("servers/" + place.id, registrationOf(place));
     std::this_thread::sleep_for(Milliseconds(1500));
     const std::string id = stage.nextRequestId();
+    stage.record("request " + id + " is sent with a body of " + std::to_string(bodyBytes)
+                 + " bytes");
     std::thread killer([&stage, searcher] {
         std::this_thread::sleep_for(killAfter);
-        if (stage.isTroubled())
+        if (stage.isTroubled()) {
+            stage.record("the searcher is killed");
             ::kill(searcher, SIGKILL);
+        }
     });
     Connection connection(connectTo(stage.machines().front().front));
     const Answer answer = exchange(
@@ -68,14 +73,17 @@
                  + "\"");
     ::kill(searcher, SIGKILL);
     ::waitpid(searcher, nullptr, 0);
+    std::ifstream log(stage.folder() + "/" + place.id + ".log");
+    for (std::string line; std::getline(log, line);)
+        stage.record("searcher " + place.id + " " + line);
     store.erase("servers/" + place.id);
     std::this_thread::sleep_for(Milliseconds(1500));
     return isShort;
 }
 
-int run(const std::string &folder, const std::string &program)
+int run(const std::string &recordPath, const std::string &program)
 {
-    Stage stage(folder);
+    Stage stage(recordPath);
     const Address storeAddress = stage.freeAddress(200);
     Store store(storeAddress);
     store.put("op/config", configText());
