Logs and metrics tell a feed that waits from one that has ended

QZ1108 to QZ1110 now state what the feed does and for how long, when the source last answered, and a refused revision; /metrics has the same. QZ1113 and QZ1009 name an exception of the handler of an answer, which was taken silently for a closed connection. No decision changes.

--- a/src/connection/tcpstream.cpp
+++ b/src/connection/tcpstream.cpp
@@ -1,5 +1,6 @@
 #include "connection/tcpstream.h"
 
+#include "process/eventlog.h"
 #include "quetzal/steadyclock.h"
 
 #include <algorithm>
@@ -166,6 +167,16 @@
     onWritten();
 }
 
+void TcpStream::passData(std::string_view data)
+{
+    try {
+        this->callbacks.onData(data);
+    } catch (const std::exception &failure) {
+        logEvent(LogEvent::HandlerFailed, "source=socket reason=\"" + describe(failure) + "\"");
+        throw;
+    }
+}
+
 void TcpStream::onReadable()
 {
     if (!this->open || !this->connected)
@@ -187,7 +198,7 @@
                 return;
             }
             if (this->callbacks.onData)
-                this->callbacks.onData({ chunk.data(), static_cast<std::size_t>(count) });
+                this->passData({ chunk.data(), static_cast<std::size_t>(count) });
             if (static_cast<std::size_t>(count) < chunk.size())
                 return;
         }
--- a/src/connection/tcpstream.h
+++ b/src/connection/tcpstream.h
@@ -83,6 +83,8 @@
     void updateWriteWatch();
     // Passes bytes to the kernel and returns how many it took.
     std::size_t send(std::string_view bytes);
+    // Passes received bytes to the owner, and logs an exception that it throws.
+    void passData(std::string_view data);
     void fail();
     void setOptions();
 
--- a/src/process/eventlog.cpp
+++ b/src/process/eventlog.cpp
@@ -3,6 +3,7 @@
 #include <cerrno>
 #include <cstdio>
 
+#include <Poco/Exception.h>
 #include <fcntl.h>
 #include <log4cplus/appender.h>
 #include <log4cplus/consoleappender.h>
@@ -84,6 +85,24 @@
     useAppender(appender);
 }
 
+std::string quotable(std::string_view text)
+{
+    static constexpr std::size_t maxBytes = 200;
+    std::string result(text.substr(0, maxBytes));
+    for (char &c : result) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (byte < 0x20 || byte == 0x7f || c == '"')
+            c = '?';
+    }
+    return result;
+}
+
+std::string describe(const std::exception &failure)
+{
+    const auto *poco = dynamic_cast<const Poco::Exception *>(&failure);
+    return quotable(poco != nullptr ? poco->displayText() : failure.what());
+}
+
 void logEvent(LogEvent event, const std::string &fields)
 {
     const LogEventInfo &info = logEvents[static_cast<std::size_t>(event)];
--- a/src/process/eventlog.h
+++ b/src/process/eventlog.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <exception>
 #include <string>
 #include <string_view>
 
@@ -85,6 +86,14 @@
     MemoryRelieved,
     // A searcher states an implausible figure of its machine's speed.
     LoadFigureIgnored,
+    // An exception left a handler of the event loop.
+    HandlerFailed,
+    // An answer of the view's source could not be handled.
+    FeedFailed,
+    // A message of another host has an invalid field.
+    PeerMessageDropped,
+    // A host in the platform's list has invalid fields.
+    HostEntryDropped,
 };
 
 // Severity of an event.
@@ -99,7 +108,7 @@
 };
 
 // Indexed by LogEvent.
-inline constexpr std::array<LogEventInfo, 56> logEvents = { {
+inline constexpr std::array<LogEventInfo, 60> logEvents = { {
         { 1001, "started", LogLevel::Info },
         { 1002, "ready", LogLevel::Info },
         { 1003, "not-ready", LogLevel::Warning },
@@ -156,8 +165,20 @@
         { 2502, "memory-limited", LogLevel::Warning },
         { 2503, "memory-relieved", LogLevel::Info },
         { 2113, "load-figure-ignored", LogLevel::Warning },
+        { 1009, "handler-failed", LogLevel::Error },
+        { 1113, "feed-failed", LogLevel::Error },
+        { 1209, "peer-message-dropped", LogLevel::Warning },
+        { 1210, "host-entry-dropped", LogLevel::Warning },
 } };
 
+// Returns the text of an exception, with that of POCO's classes in full. Quotes and control
+// characters are replaced, so that it fits into a quoted field.
+std::string describe(const std::exception &failure);
+
+// Returns the text with quotes and control characters replaced and cut to a bounded length, so that
+// foreign text fits into a quoted field of a log line.
+std::string quotable(std::string_view text);
+
 // Sends log lines to a file, or to standard error if the path is empty.
 void startLog(const std::string &path);
 
--- a/src/process/filefeed.cpp
+++ b/src/process/filefeed.cpp
@@ -23,6 +23,8 @@
 void FileFeed::start()
 {
     this->checkFiles();
+    this->currentStatus.step = FeedStep::Pausing;
+    this->currentStatus.stepSince = SteadyClock::now();
     this->timer = this->loop.schedule(SteadyClock::now() + pollPeriod, [this] { this->start(); });
 }
 
@@ -37,6 +39,8 @@
     const auto routes = readTextFile(this->files.routes);
     const auto pools = readTextFile(this->files.pools);
     const auto searchers = readTextFile(this->files.searchers);
+    if (routes && pools && searchers)
+        this->currentStatus.answeredAt = SteadyClock::now();
     const std::string contents = routes && pools && searchers ? *routes + *pools + *searchers : "";
     if (contents == this->lastContents && !contents.empty()) {
         if (this->healthy)
--- a/src/process/filefeed.h
+++ b/src/process/filefeed.h
@@ -31,6 +31,7 @@
 
     void start() override;
     bool isHealthy() const override { return this->healthy; }
+    FeedStatus status() const override { return this->currentStatus; }
     // Does nothing: the files are polled at the same period on standby.
     void setStandby(bool) override {}
     // Does nothing: a read of a file does not wait for changes.
@@ -54,6 +55,7 @@
     // Contents read last, so that an error in them is logged once.
     std::string lastContents;
     bool healthy = false;
+    FeedStatus currentStatus;
 };
 
 } // namespace quetzal
--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -73,6 +73,7 @@
     this->feed = makeFeed(this->loop, this->settings.storeAddress, this->view);
     ViewExchangeHooks hooks;
     hooks.isStoreHealthy = [this] { return this->feed->isHealthy(); };
+    hooks.feedStatus = [this] { return this->feed->status(); };
     hooks.onFeedDoubted = [this] { this->feed->refresh(); };
     hooks.onMaxCallWaitChanged = [this](Millis wait) { this->feed->setMaxCallWait(wait); };
     hooks.onFleetCapacityChanged
@@ -236,6 +237,14 @@
     text << this->metrics.text();
     text << "quetzal_ready " << (this->isReady() ? 1 : 0) << "\n";
     text << "quetzal_store_answers " << (this->feed->isHealthy() ? 1 : 0) << "\n";
+    const FeedStatus feedStatus = this->feed->status();
+    const Millis now = SteadyClock::now();
+    text << "quetzal_feed_step{step=\"" << feedStepNames[static_cast<std::size_t>(feedStatus.step)]
+         << "\"} 1\n";
+    text << "quetzal_feed_step_ms " << (now - feedStatus.stepSince).count() << "\n";
+    text << "quetzal_feed_answer_age_ms " << (now - feedStatus.answeredAt).count() << "\n";
+    text << "quetzal_feed_failures_total " << feedStatus.failures << "\n";
+    text << "quetzal_refused_tables " << feedStatus.refusedTables << "\n";
     text << "quetzal_tables_revision " << this->view.tablesRevision().value << "\n";
     text << "quetzal_directory_revision " << this->view.revision() << "\n";
     text << "quetzal_view_age_ms " << this->view.freshness().age(SteadyClock::now()).count()
--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -361,10 +361,19 @@
 std::string ViewExchange::confirmationFields(Millis now) const
 {
     const Millis age = std::min(this->view.freshness().age(now), now - this->startedAt);
+    const FeedStatus feed = this->hooks.feedStatus();
+    const auto millisSince = [&](Millis time) {
+        const Millis span = std::min(now - time, now - this->startedAt);
+        return std::to_string(static_cast<long>(span.count()));
+    };
     return "age_ms=" + std::to_string(static_cast<int>(age.count()))
            + " revision=" + std::to_string(this->view.revision())
            + " tables=" + std::to_string(this->view.tablesRevision().value) + " store_answers="
-           + (this->hooks.isStoreHealthy() ? "1" : "0") + " standby=" + (this->standby ? "1" : "0");
+           + (this->hooks.isStoreHealthy() ? "1" : "0") + " standby=" + (this->standby ? "1" : "0")
+           + " feed=" + std::string(feedStepNames[static_cast<std::size_t>(feed.step)])
+           + " feed_ms=" + millisSince(feed.stepSince) + " answer_ms="
+           + millisSince(feed.answeredAt) + " feed_failures=" + std::to_string(feed.failures)
+           + " refused_tables=" + std::to_string(feed.refusedTables);
 }
 
 bool ViewExchange::isUnconfirmed(Millis now) const
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -10,6 +10,7 @@
 #include "process/membership.h"
 #include "quetzal/steadyclock.h"
 #include "version/servingview.h"
+#include "version/viewfeed.h"
 
 #include <functional>
 #include <map>
@@ -25,6 +26,8 @@
 {
     // Returns true while the store responds to this host.
     std::function<bool()> isStoreHealthy;
+    // Returns the state of this host's feed, for the log.
+    std::function<FeedStatus()> feedStatus;
     // The feed has not delivered a revision that another host has had for some time, or nothing has
     // shown for some time that the view is complete.
     std::function<void()> onFeedDoubted;
--- a/src/version/viewfeed.h
+++ b/src/version/viewfeed.h
@@ -3,8 +3,40 @@
 
 #include "quetzal/millis.h"
 
+#include <array>
+#include <cstdint>
+#include <string_view>
+
 namespace quetzal {
 
+// What a feed does at the moment.
+enum class FeedStep {
+    // Nothing is in progress or scheduled, so no answer will ever come.
+    Idle,
+    // Waits for the time of its next call.
+    Pausing,
+    // Waits for an answer that lists the view, or that reports its next change.
+    Listing,
+    Watching,
+};
+
+inline constexpr std::array<std::string_view, 4> feedStepNames
+        = { "idle", "pausing", "listing", "watching" };
+
+// The state of a feed, for logs and metrics.
+struct FeedStatus
+{
+    FeedStep step = FeedStep::Idle;
+    // When the step began.
+    Millis stepSince = Millis(-1e9);
+    // When the source last answered.
+    Millis answeredAt = Millis(-1e9);
+    // Answers that could not be handled.
+    std::uint64_t failures = 0;
+    // The revision of the tables that could not be read, if they are newer than those in force.
+    std::uint64_t refusedTables = 0;
+};
+
 // Keeps a ServingView up to date from its source. Used on one event loop only.
 class ViewFeed
 {
@@ -17,6 +49,8 @@
     // Returns true while the source answers this host.
     virtual bool isHealthy() const = 0;
 
+    virtual FeedStatus status() const = 0;
+
     // Sets standby. A feed on standby polls its source at long intervals; between them the host
     // relies on the updates of other hosts.
     virtual void setStandby(bool isStandby) = 0;
--- a/tests/gatewayprocesstest.cpp
+++ b/tests/gatewayprocesstest.cpp
@@ -26,6 +26,7 @@
 public:
     void start() override {}
     bool isHealthy() const override { return true; }
+    FeedStatus status() const override { return {}; }
     void setStandby(bool) override {}
     void refresh() override {}
     void setMaxCallWait(Millis) override {}
