A key that its writer could not encode does not hide the store's other entries

JSON text with half a surrogate pair or a byte that is not UTF-8, as an encoder writes it for a key of odd bytes, made the parser refuse the whole page: the feed asked again for ever and no change arrived (registrationchecktest, red before).

--- a/tests/registrationchecktest.cpp
+++ b/tests/registrationchecktest.cpp
@@ -1,5 +1,6 @@
 // Registrations from other programs: an address that passes the check can be connected to.
 #include "version/registrationcheck.h"
+#include "platform/documents.h"
 #include "registrations.h"
 
 #include <limits>
@@ -50,3 +51,29 @@
               r.address = "";
           }).empty());
 }
+
+TEST_CASE("a page is read although a writer could not encode one of its keys")
+{
+    const std::string good = R"({"key":"servers/good","value":"e30=","revision":4})";
+    for (const std::string &key :
+         { std::string("\\udcff"), std::string("\\ud83d"), std::string("\\ud83dx"),
+           std::string("\xff\xc0"), std::string("\xed\xa0\x80"), std::string("\xe2\x82") }) {
+        const auto page = platform::readPage(R"({"events":[{"key":"servers/a)" + key
+                                             + R"(","value":"e30=","revision":3},)" + good
+                                             + R"(],"currentRev":9})");
+        REQUIRE_MESSAGE(page, key);
+        CHECK(page->currentRevision == 9);
+        CHECK(page->items.size() == 2);
+        CHECK(page->items.back().key == "servers/good");
+        std::string problem;
+        CHECK(platform::readRegistration(page->items.front(), problem).state
+              == SearcherState::Gone);
+    }
+    // What a writer did encode is not changed.
+    const auto paired = platform::readPage(
+            R"({"items":[{"key":"\ud83d\ude00\\ud800\"","value":"","revision":1},)"
+            R"({"key":"\ud800","value":"","revision":2}],"currentRev":9})");
+    REQUIRE(paired);
+    CHECK(paired->items.front().key == "\xf0\x9f\x98\x80\\ud800\"");
+    CHECK_FALSE(platform::readPage("{\"events\":[" + good));
+}
