Files that could not be applied are applied again, and do not count as confirmed

Callers of a host that reads its view from files could be served by the old tables for good: FileFeed noted the contents before it applied them, so after an exception of a consumer of the view the next poll took them for known, and confirmed the view as complete. If the tables had been applied and the searchers not, the revision also counted as used up; the same happened to a host that had been sent the tables by another one before its own files changed.

The contents are noted after they are applied, and a revision is used up once this feed has applied it. filefeedtest: two cases red before (an exception that left the feed; not healthy and the searcher's state unchanged). The case of odd values in a searchers file shows no fault; it was green before.

--- a/src/process/filefeed.cpp
+++ b/src/process/filefeed.cpp
@@ -6,6 +6,7 @@
 #include "version/tablesyaml.h"
 
 #include <algorithm>
+#include <exception>
 
 namespace quetzal {
 
@@ -30,7 +31,6 @@
 
 void FileFeed::rejectFiles(const std::string &error)
 {
-    this->healthy = false;
     logEvent(LogEvent::TablesRefused, "error=\"" + error + "\"");
 }
 
@@ -48,12 +48,20 @@
         return;
     }
     const bool isChanged = contents != this->lastContents || this->healthy;
-    this->lastContents = contents;
-    if (!contents.empty())
-        this->applyFiles(*routes, *pools, *searchers);
-    else if (isChanged)
-        this->rejectFiles("cannot read " + this->files.routes + ", " + this->files.pools + " or "
-                          + this->files.searchers);
+    // Files whose application fails with an exception stay new, so that the next poll repeats it.
+    this->lastContents.clear();
+    this->healthy = false;
+    try {
+        if (!contents.empty())
+            this->applyFiles(*routes, *pools, *searchers);
+        else if (isChanged)
+            this->rejectFiles("cannot read " + this->files.routes + ", " + this->files.pools
+                              + " or " + this->files.searchers);
+        this->lastContents = contents;
+    } catch (const std::exception &failure) {
+        this->currentStatus.failures += 1;
+        logEvent(LogEvent::FeedFailed, "step=listing reason=\"" + describe(failure) + "\"");
+    }
 }
 
 void FileFeed::applyFiles(const std::string &routes, const std::string &pools,
@@ -64,15 +72,17 @@
     std::vector<std::string> errors = tables.errors;
     errors.insert(errors.end(), listing.errors.begin(), listing.errors.end());
     const std::uint64_t revision = listing.value.revision;
-    if (errors.empty() && revision <= this->view.tablesRevision().value)
+    // Another host may have sent the tables of this revision before the files changed here.
+    const std::uint64_t current = this->view.tablesRevision().value;
+    if (errors.empty() && (revision < current || revision <= this->appliedRevision))
         errors.push_back(this->files.searchers + ": revision " + std::to_string(revision)
-                         + " must be above " + std::to_string(this->view.tablesRevision().value));
+                         + " must be above " + std::to_string(current));
     if (!errors.empty()) {
         for (const std::string &error : errors)
             this->rejectFiles(error);
+        this->currentStatus.refusedTables = revision;
         return;
     }
-    this->healthy = true;
     RoutingTables newTables;
     newTables.revision = { revision };
     newTables.routes = std::move(tables.value.routes);
@@ -80,6 +90,9 @@
     this->view.applyTables(std::move(newTables));
     this->view.applyListing(listing.value.searchers, revision, SteadyClock::now());
     this->view.freshness().confirmBySource(SteadyClock::now());
+    this->healthy = true;
+    this->appliedRevision = revision;
+    this->currentStatus.refusedTables = 0;
     logEvent(LogEvent::TablesInForce, "revision=" + std::to_string(revision));
 }
 
--- a/tests/filefeedtest.cpp
+++ b/tests/filefeedtest.cpp
@@ -151,6 +151,65 @@
     CHECK(view.directory().records().at("s-1").registration.state == SearcherState::Draining);
 }
 
+TEST_CASE("files whose application fails are applied again and do not count as confirmed")
+{
+    const TemporaryViewFolder folder;
+    EventLoop loop;
+    ServingView view;
+    int failuresLeft = 0;
+    view.onChange([&failuresLeft] {
+        if (failuresLeft-- > 0)
+            throw std::runtime_error("test");
+    });
+    FileFeed feed(loop, folder.files(), view);
+    folder.write("searchers.yaml", searchersText(3, "ready"));
+    feed.start();
+    REQUIRE(feed.isHealthy());
+    folder.write("searchers.yaml", searchersText(4, "draining"));
+    failuresLeft = 2;
+    feed.refresh();
+    CHECK_FALSE(feed.isHealthy());
+    feed.refresh();
+    feed.refresh();
+    CHECK(feed.isHealthy());
+    CHECK(view.tablesRevision().value == 4);
+    CHECK(view.directory().records().at("s-1").registration.state == SearcherState::Draining);
+}
+
+TEST_CASE("files whose tables another host has sent before are accepted")
+{
+    const TemporaryViewFolder folder;
+    EventLoop loop;
+    ServingView view;
+    FileFeed feed(loop, folder.files(), view);
+    folder.write("searchers.yaml", searchersText(3, "ready"));
+    feed.start();
+    ViewDelta delta;
+    delta.completeRevision = 4;
+    delta.tables = *view.tables();
+    delta.tables->revision = { 4 };
+    view.applyDelta(std::move(delta), SteadyClock::now());
+    folder.write("searchers.yaml", searchersText(4, "draining"));
+    feed.refresh();
+    CHECK(feed.isHealthy());
+    CHECK(view.directory().records().at("s-1").registration.state == SearcherState::Draining);
+}
+
+TEST_CASE("a searchers file with odd values is refused with an error, not with an exception")
+{
+    const std::string valid = searchersText(3, "ready");
+    for (const std::string &odd :
+         { std::string("\"fd00::17:8080\""), std::string("\"localhost:80\""),
+           std::string("\"127.0.0.1:65536\""), std::string("\"127.0.0.1\""),
+           std::string(10'000, '[') + std::string(10'000, ']'), std::string(10'000, '{'),
+           std::string("&a [*a]"), std::string("!!binary x") }) {
+        std::string text = valid;
+        text.replace(text.find("\"127.0.0.1:9\""), std::string("\"127.0.0.1:9\"").size(), odd);
+        CHECK_FALSE_MESSAGE(parseSearchers("s.yaml", text).ok(), odd.substr(0, 20));
+        CHECK_FALSE_MESSAGE(parseTables("r.yaml", text, "p.yaml", text).ok(), odd.substr(0, 20));
+    }
+}
+
 TEST_CASE("settings must name either a store or files")
 {
     const std::string commonSettings
