A request whose handler fails is answered with 500

A caller whose request made the handler throw saw its connection closed without an answer, which may be repeated or not, and the loop's containment took it for a failed socket.

--- a/apps/quetzal_gateway.cpp
+++ b/apps/quetzal_gateway.cpp
@@ -12,7 +12,6 @@
 #include <iostream>
 #include <optional>
 
-#include <Poco/Exception.h>
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -93,6 +92,7 @@
         reloadRequested = 0;
         if (!requested && (!contents || *contents == this->lastContents))
             return;
+        // Noted before the settings are applied: bad ones are reported once, not with every poll.
         this->lastContents = contents.value_or("");
         if (const auto settings = readSettings(this->path)) {
             this->process.reload(*settings);
@@ -124,8 +124,8 @@
                 makeFeed);
         const Watcher watcher(process, path);
         return process.run() ? exitOk : exitRequestsAborted;
-    } catch (const Poco::Exception &error) {
-        std::cerr << "quetzal-gateway: " << error.displayText() << "\n";
+    } catch (const std::exception &error) {
+        std::cerr << "quetzal-gateway: " << quetzal::describe(error) << "\n";
         return exitUsage;
     }
 }
--- a/src/connection/httpserverconnection.cpp
+++ b/src/connection/httpserverconnection.cpp
@@ -8,6 +8,7 @@
 
 // Status "Request Timeout".
 static constexpr int statusRequestTimeout = 408;
+static constexpr int statusInternalError = 500;
 // Time for which received bytes are still read after the last answer. Closing a socket with unread
 // bytes would reset the connection, and the caller could lose the answer.
 static constexpr Millis lingerTime = Millis(500);
@@ -216,8 +217,13 @@
     // Keeps the exchange alive if the handler answers it synchronously.
     const std::shared_ptr<HttpExchange> exchange = this->currentExchange;
     const auto owner = this->server.lock();
-    if (owner)
-        owner->handler(exchange);
+    if (!owner)
+        return true;
+    const bool handled = this->loop.runContained("request", [&] { owner->handler(exchange); });
+    // Does nothing if the handler had answered before it failed.
+    if (!handled)
+        exchange->respond(statusInternalError, {},
+                          R"({"error":"internal-error","verdict":"may-have-run"})");
     return true;
 }
 
