A view whose newest tables were refused does not count as confirmed

A host that could not read the newest tables kept the old ones and confirmed its view as complete, also to other hosts: only one log line told that it was out of date, and a caller with a new key got 401 instead of 503.

--- a/tests/feedcontinuitytest.cpp
+++ b/tests/feedcontinuitytest.cpp
@@ -84,6 +84,24 @@
     CHECK(fixture.awaitTables(changed, Millis(3000)));
 }
 
+TEST_CASE("a view whose newest tables were refused does not count as confirmed")
+{
+    FeedOnView fixture([] {});
+    REQUIRE(fixture.awaitTables(1, Millis(1000)));
+    fixture.store.put(platform::tablesKey, R"({"version":2,"routes":[{"name":7}]})");
+    const Millis end = SteadyClock::now() + Millis(1000);
+    while (fixture.feed.status().refusedTables == 0 && SteadyClock::now() < end)
+        fixture.loop.runOnce();
+    const Millis refusedAt = SteadyClock::now();
+    while (SteadyClock::now() < refusedAt + Millis(1500))
+        fixture.loop.runOnce();
+    CHECK(fixture.view.freshness().age(SteadyClock::now()) > Millis(1400));
+    CHECK(fixture.view.tablesRevision().value == 1);
+    CHECK(fixture.awaitTables(fixture.store.putTables(), Millis(1000)));
+    CHECK(fixture.feed.status().refusedTables == 0);
+    CHECK(fixture.view.freshness().age(SteadyClock::now()) < Millis(500));
+}
+
 TEST_CASE("a doubted feed asks its source again although no call is in progress")
 {
     int changes = 0;
