The test program fails on an exception that an event loop contained

Containment hid from the tests what ended them before. The program now compares the contained exceptions with those that cases state that they provoke.

The stream is closed outside the block that catches errors of its socket.

--- a/src/connection/tcpstream.cpp
+++ b/src/connection/tcpstream.cpp
@@ -168,19 +168,18 @@
 
 int TcpStream::receive(std::span<char> buffer)
 {
+    int count = 0;
     try {
-        const int count = this->socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
-        if (count == 0) {
-            this->eofReceived = true;
-            this->fail();
-        }
-        return count;
+        count = this->socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        this->eofReceived = count == 0;
     } catch (const Poco::TimeoutException &) {
-        return 0;
+        return -1;
     } catch (const Poco::Exception &) {
-        this->fail();
-        return 0;
+        count = 0;
     }
+    if (count == 0)
+        this->fail();
+    return count;
 }
 
 void TcpStream::onReadable()
--- a/src/process/eventloop.cpp
+++ b/src/process/eventloop.cpp
@@ -141,6 +141,14 @@
     return std::clamp(this->timers.begin()->first - now, Millis(0), maxPollWait);
 }
 
+// Counts what failureCount counts, over all loops.
+static std::atomic<std::uint64_t> totalFailures = 0;
+
+std::uint64_t EventLoop::totalFailureCount()
+{
+    return totalFailures.load(std::memory_order_relaxed);
+}
+
 bool EventLoop::runContained(std::string_view source, const Task &function)
 {
     try {
@@ -148,6 +156,7 @@
         return true;
     } catch (const std::exception &failure) {
         this->failures.fetch_add(1, std::memory_order_relaxed);
+        totalFailures.fetch_add(1, std::memory_order_relaxed);
         if (const auto suppressed = this->failureLog.admit(SteadyClock::now()))
             logEvent(LogEvent::HandlerFailed,
                      "source=" + std::string(source) + " reason=\"" + describe(failure)
--- a/src/process/eventloop.h
+++ b/src/process/eventloop.h
@@ -87,6 +87,9 @@
     // Returns how many handlers, timers and tasks ended with an exception.
     std::uint64_t failureCount() const { return this->failures.load(std::memory_order_relaxed); }
 
+    // Returns the same for all loops of the process since its start.
+    static std::uint64_t totalFailureCount();
+
     // Adds a function that is called with the length of a pause of the process, before the data
     // that arrived in sockets during the pause is read.
     void onPause(std::function<void(Millis gap)> handler);
--- a/tests/eventlooptest.cpp
+++ b/tests/eventlooptest.cpp
@@ -2,12 +2,15 @@
 #include "process/eventloop.h"
 #include "connection/httpclient.h"
 #include "connection/httpserver.h"
+#include "connection/tcpstream.h"
+#include "handlerfailures.h"
 #include "quetzal/steadyclock.h"
 
 #include <functional>
 #include <stdexcept>
 
 #include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
 #include <doctest/doctest.h>
 
 using namespace quetzal;
@@ -53,6 +56,7 @@
     loop.schedule(SteadyClock::now(), [&ran] { ++ran; });
     CHECK(runUntil(loop, [&ran] { return ran == 2; }));
     CHECK(loop.failureCount() == 2);
+    expectedHandlerFailures += 2;
 }
 
 TEST_CASE("an exception of a request's handler is answered and the server goes on")
@@ -68,6 +72,7 @@
     const std::string address = server->address().toString();
     CHECK(statusOf(loop, address, "/good") == 200);
     CHECK(statusOf(loop, address, "/bad") == 500);
+    expectedHandlerFailures += 1;
     CHECK(statusOf(loop, address, "/good") == 200);
     server->closeAll();
 }
@@ -87,6 +92,20 @@
     client = HttpClient::connect(loop, server->address().toString(), callbacks);
     CHECK(runUntil(loop, [&closed] { return closed; }));
     CHECK(loop.failureCount() == 1);
+    expectedHandlerFailures += 1;
     CHECK(statusOf(loop, server->address().toString(), "/") == 200);
     server->closeAll();
 }
+
+TEST_CASE("an exception of onClosed at the end of a stream is counted")
+{
+    EventLoop loop;
+    Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+    Poco::Net::StreamSocket peer(server.address());
+    StreamCallbacks callbacks;
+    callbacks.onClosed = [] { throw Poco::InvalidArgumentException("test"); };
+    const auto stream = TcpStream::accept(loop, server.acceptConnection(), callbacks);
+    peer.close();
+    CHECK(runUntil(loop, [&loop] { return loop.failureCount() == 1; }));
+    expectedHandlerFailures += 1;
+}
