--- a/src/process/filefeed.cpp
+++ b/src/process/filefeed.cpp
@@ -47,6 +47,14 @@
             this->view.freshness().confirmBySource(SteadyClock::now());
         return;
     }
+    if (contents == this->appliedContents && !contents.empty()) {
+        // An error was taken back.
+        this->lastContents = contents;
+        this->healthy = true;
+        this->currentStatus.refusedTables = 0;
+        this->view.freshness().confirmBySource(SteadyClock::now());
+        return;
+    }
     const bool isChanged = contents != this->lastContents || this->healthy;
     // Files whose application fails with an exception stay new, so that the next poll repeats it.
     this->lastContents.clear();
@@ -58,6 +66,8 @@
             this->rejectFiles("cannot read " + this->files.routes + ", " + this->files.pools
                               + " or " + this->files.searchers);
         this->lastContents = contents;
+        if (this->healthy)
+            this->appliedContents = contents;
     } catch (const std::exception &failure) {
         this->currentStatus.failures += 1;
         logEvent(LogEvent::FeedFailed, "step=listing reason=\"" + describe(failure) + "\"");
--- a/src/process/filefeed.h
+++ b/src/process/filefeed.h
@@ -55,7 +55,8 @@
     // Contents read last, so that an error in them is logged once.
     std::string lastContents;
     bool healthy = false;
-    // Revision of the files that were applied last.
+    // Contents and revision of the files that were applied last.
+    std::string appliedContents;
     std::uint64_t appliedRevision = 0;
     FeedStatus currentStatus;
 };
--- a/tests/filefeedtest.cpp
+++ b/tests/filefeedtest.cpp
@@ -157,9 +157,11 @@
     EventLoop loop;
     ServingView view;
     int failuresLeft = 0;
-    view.onChange([&failuresLeft] {
+    std::uint64_t handled = 0;
+    view.onChange([&] {
         if (failuresLeft-- > 0)
             throw std::runtime_error("test");
+        handled = view.tablesRevision().value;
     });
     FileFeed feed(loop, folder.files(), view);
     folder.write("searchers.yaml", searchersText(3, "ready"));
@@ -173,9 +175,27 @@
     feed.refresh();
     CHECK(feed.isHealthy());
     CHECK(view.tablesRevision().value == 4);
+    CHECK(handled == 4);
     CHECK(view.directory().records().at("s-1").registration.state == SearcherState::Draining);
 }
 
+TEST_CASE("a file that is missing for one poll, or an edit that is undone, leaves the feed healthy")
+{
+    const TemporaryViewFolder folder;
+    EventLoop loop;
+    ServingView view;
+    FileFeed feed(loop, folder.files(), view);
+    folder.write("searchers.yaml", searchersText(3, "ready"));
+    feed.start();
+    REQUIRE(feed.isHealthy());
+    folder.write("routes.yaml", "routes: [");
+    feed.refresh();
+    CHECK_FALSE(feed.isHealthy());
+    folder.write("routes.yaml", routesText);
+    feed.refresh();
+    CHECK(feed.isHealthy());
+}
+
 TEST_CASE("files whose tables another host has sent before are accepted")
 {
     const TemporaryViewFolder folder;
