--- a/src/request/scatterexecutor.cpp
+++ b/src/request/scatterexecutor.cpp
@@ -367,8 +367,10 @@
     TargetPtr &target = found->second;
     const SearcherState previousState = target->searcher->registration().state;
     if (!isGone && !target->searcher->registration().isSameIncarnation(registration)) {
+        // Made first, so that the former one stays in use if this fails.
+        const TargetPtr next = this->makeTarget(record, now);
         this->retire(target);
-        target = this->makeTarget(record, now);
+        target = next;
     }
     if (previousState != registration.state)
         logEvent(LogEvent::SearcherState,
