A host that claims more than it has, or sends an unusable view, is not asked without end

Now a host's own last heartbeat gives its revision. The doubts become rarer while other hosts stay ahead.

--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -132,7 +132,6 @@
         if (found == this->members.end())
             return;
         MemberInfo &known = found->second.info;
-        known.revision = std::max(known.revision, info.revision);
         // Completes a seed of which only the address was known.
         if (known.zone != info.zone && info.incarnation == known.incarnation) {
             known.zone = info.zone;
@@ -362,6 +361,9 @@
     // Receiving a heartbeat proves that a suspect is alive, whatever other hosts report.
     const bool current = sender != this->members.end()
                          && heartbeat.sender.incarnation == sender->second.info.incarnation;
+    // A host's own word counts, so that a corrupt revision holds only until its next heartbeat.
+    if (current)
+        sender->second.info.revision = heartbeat.sender.revision;
     if (current && heartbeat.sender.state == MemberState::Alive
         && sender->second.info.state == MemberState::Suspect)
         this->setState(sender->second, MemberState::Alive, now);
@@ -474,16 +476,6 @@
     return result;
 }
 
-std::pair<Revision, HostId> Membership::highestRevision() const
-{
-    std::pair<Revision, HostId> best = { this->self.revision, this->self.id };
-    for (const auto &[id, member] : this->members) {
-        if (member.info.revision > best.first && serves(member.info.state))
-            best = { member.info.revision, id };
-    }
-    return best;
-}
-
 std::vector<HostId> Membership::aheadOf(Revision revision) const
 {
     std::vector<HostId> result;
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -35,7 +35,7 @@
     // Incremented by the host itself to refute a suspicion.
     std::uint32_t refutation = 0;
     MemberState state = MemberState::Alive;
-    // Highest revision of the tables, or of the view, that the host has applied.
+    // Revision of the tables, or of the view, that the host has applied.
     Revision revision;
     // Share of the work that the host takes, relative to other hosts.
     float capacity = 1;
@@ -161,9 +161,6 @@
     // Returns a counter that increases with each change that may affect ownership.
     std::uint64_t changeCount() const { return this->changes; }
 
-    // Returns the highest revision that any serving host has reported, and such a host.
-    std::pair<Revision, HostId> highestRevision() const;
-
     // Returns the serving hosts that have reported a higher revision than the given one.
     std::vector<HostId> aheadOf(Revision revision) const;
 
--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -2,25 +2,17 @@
 
 #include "process/eventlog.h"
 #include "quetzal/steadyclock.h"
-#include "version/codec.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 
 #include <Poco/Net/NetException.h>
-#include <Poco/URI.h>
 
 namespace quetzal {
 
-static constexpr int statusOk = 200;
-static constexpr int statusBadRequest = 400;
 static constexpr Millis tickPeriod = Millis(200);
-// Time that the store's feed is given to catch up before the view is requested from another host.
-static constexpr Millis feedCatchUpTime = Millis(900);
 // Time for which a message is retransmitted if it is not acknowledged.
 static constexpr Millis messageLifetime = Millis(400);
-static constexpr Millis viewRequestTimeout = Millis(600);
 // Time for which lost hosts still count towards the fleet's capacity, because they have spent their
 // share of the budgets.
 static constexpr Millis lostHostRetention = Millis(20'000);
@@ -391,90 +383,4 @@
              this->confirmationFields(now));
 }
 
-void ViewExchange::requestViewIfBehind(Millis now)
-{
-    const std::vector<HostId> ahead = this->membership.aheadOf({ this->view.revision() });
-    if (ahead.empty()) {
-        this->behindSince = Millis::never();
-        return;
-    }
-    const bool isNewLag = this->behindSince == Millis::never()
-                          || this->view.revision() >= this->catchUpRevision;
-    if (isNewLag) {
-        this->behindSince = now;
-        this->catchUpRevision = this->membership.highestRevision().first.value;
-    }
-    const bool isHealthy = this->hooks.isStoreHealthy();
-    if (isHealthy && !this->standby && now - this->behindSince < feedCatchUpTime)
-        return;
-    if (this->requestPending)
-        return;
-    if (isHealthy && !this->standby)
-        this->hooks.onFeedDoubted();
-    // Chosen at random, so that not all hosts that are behind request the view of the same host.
-    this->requestView(ahead[this->random() % ahead.size()]);
-}
-
-void ViewExchange::requestView(HostId host)
-{
-    const MemberInfo *member = this->membership.find(host);
-    if (member == nullptr)
-        return;
-    this->requestPending = true;
-    const std::string address = this->viewAddressOf(member->address);
-    const auto httpCaller = std::make_shared<HttpCaller>(this->loop, address);
-    const std::string target = "/view?after=" + std::to_string(this->view.revision())
-                               + "&tables=" + std::to_string(this->view.tablesRevision().value);
-    httpCaller->get(
-            target, viewRequestTimeout,
-            [this, httpCaller, address, isAlive = this->alive](const HttpCallResult &result) {
-                if (*isAlive)
-                    this->onViewResponse(address, result);
-            });
-}
-
-void ViewExchange::onViewResponse(const std::string &from, const HttpCallResult &result)
-{
-    this->requestPending = false;
-    if (result.status != statusOk)
-        return;
-    auto delta = decode<ViewDelta>(result.body);
-    if (!delta)
-        return;
-    const std::size_t entries = delta->registrations.size();
-    const std::uint64_t completeRevision = delta->completeRevision;
-    this->view.applyDelta(std::move(*delta), SteadyClock::now());
-    logEvent(LogEvent::PeerViewTaken,
-             "peer=" + from + " entries=" + std::to_string(entries)
-                     + " tables=" + std::to_string(this->view.tablesRevision().value)
-                     + " revision=" + std::to_string(completeRevision));
-}
-
-void ViewExchange::serveView(HttpExchange &exchange)
-{
-    std::uint64_t after = 0;
-    Revision tables;
-    bool valid = false;
-    try {
-        const Poco::URI uri(exchange.request().head.getURI());
-        for (const auto &[name, value] : uri.getQueryParameters()) {
-            std::uint64_t number = 0;
-            const auto parsed = std::from_chars(value.data(), value.data() + value.size(), number);
-            valid = parsed.ec == std::errc() && parsed.ptr == value.data() + value.size();
-            if (name == "after")
-                after = number;
-            else if (name == "tables")
-                tables.value = number;
-        }
-    } catch (const Poco::Exception &) {
-        valid = false;
-    }
-    if (!valid) {
-        exchange.respond(statusBadRequest, {}, "{\"error\":\"after and tables are expected\"}");
-        return;
-    }
-    exchange.respond(statusOk, {}, encode(this->view.delta(after, tables)),
-                     "application/octet-stream");
-}
-
 } // namespace quetzal
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -4,9 +4,11 @@
 
 #include "connection/httpserver.h"
 #include "connection/peerlink.h"
+#include "process/distrustedclaims.h"
 #include "process/eventloop.h"
 #include "process/gatewaysettings.h"
 #include "process/httpcall.h"
+#include "process/loglimiter.h"
 #include "process/membership.h"
 #include "quetzal/steadyclock.h"
 #include "version/servingview.h"
@@ -94,6 +96,9 @@
     void onPaused();
 
 private:
+    // Time between two lines about views that are not used.
+    static constexpr Millis refusedLogPeriod = Millis(10'000);
+
     void onHeartbeat(const Heartbeat &heartbeat);
     // Passes addresses and incarnations to the link, and reports a change of the alive hosts.
     void updateLinkPeers();
@@ -101,8 +106,13 @@
     void tick();
     // Requests the view of a host that is ahead if the store does not deliver it soon.
     void requestViewIfBehind(Millis now);
-    void requestView(HostId host);
-    void onViewResponse(const std::string &from, const HttpCallResult &result);
+    // Returns the hosts that claim a higher revision and are not distrusted.
+    std::vector<HostId> hostsAhead(Millis now) const;
+    void requestView(HostId host, Millis now);
+    // Logs that a host's view is not used, and asks other hosts for some time.
+    void refuseView(HostId host, const std::string &from, const std::string &reason, Millis now);
+    void onViewResponse(HostId host, Revision claim, const std::string &from,
+                        const HttpCallResult &result);
     void serveView(HttpExchange &exchange);
     // Logs changes of the hosts, and reports the capacity of the fleet.
     void updateFleetCapacity(Millis now);
@@ -138,6 +148,11 @@
     // Since when some host has been ahead, and the highest revision at that time.
     Millis behindSince = Millis::never();
     std::uint64_t catchUpRevision = 0;
+    // When the feed may next be doubted because other hosts are ahead.
+    Millis nextDoubtAt;
+    Millis doubtInterval;
+    DistrustedClaims distrusted;
+    LogLimiter refusedLog = LogLimiter(refusedLogPeriod);
     bool requestPending = false;
     bool standby = false;
     // The other hosts that follow the store, by id.
--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -152,3 +152,20 @@
     CHECK(membership.aheadOf({ 2 }) == std::vector<HostId>{ { 3 }, { 4 } });
     CHECK(membership.aheadOf({ 9 }).empty());
 }
+
+TEST_CASE("a corrupt revision of a host holds only until the host's next heartbeat")
+{
+    MemberInfo self;
+    self.id = { 1 };
+    Membership membership(self, MembershipTimes(), 1);
+    std::vector<OutgoingHeartbeat> out;
+    Heartbeat heartbeat;
+    heartbeat.sender.id = { 2 };
+    heartbeat.sender.incarnation = { 1 };
+    heartbeat.sender.revision = { std::uint64_t(1) << 62 };
+    membership.onHeartbeat(heartbeat, Millis(0), out);
+    heartbeat.sender.revision = { 4 };
+    membership.onHeartbeat(heartbeat, Millis(1), out);
+    CHECK(membership.aheadOf({ 4 }).empty());
+    CHECK(membership.aheadOf({ 3 }) == std::vector<HostId>{ { 2 } });
+}
