What another host says of a member is checked before the membership uses it

What was seen: one update with an unknown state, or with the largest incarnation, took a live host out of the membership for good, because nothing can take precedence over it: the refutation wraps to 0. A capacity that is not a number went into the capacity of the fleet. The names of states were indexed with whatever was decoded. A member with an odd address made each message over TCP throw in the caller, and host names were resolved at each datagram, which blocks the loop.

Cause: heartbeats were trusted once their signature was valid. Gateways use a known key, and hosts of different versions run side by side.

Addresses are parsed once, when they are set, and must be numeric, as the settings' texts say. Messages that cannot be decoded are logged too; they were only counted. A heartbeat of an unknown kind is accepted as before.

The tests failed before: the live host was gone in all four cases, the odd one known in three, and the message over TCP threw "Service not found".

--- a/src/connection/peerlink.cpp
+++ b/src/connection/peerlink.cpp
@@ -1,7 +1,10 @@
 #include "connection/peerlink.h"
 
+#include "process/eventlog.h"
+#include "process/heartbeatcheck.h"
 #include "quetzal/steadyclock.h"
 #include "version/codec.h"
+#include "version/registrationcheck.h"
 
 #include <algorithm>
 #include <array>
@@ -58,10 +61,9 @@
         : link(link)
     {}
 
-    void connect(const std::string &address)
+    void connect(const Poco::Net::SocketAddress &address)
     {
-        this->tcp = TcpStream::connect(this->link.loop, Poco::Net::SocketAddress(address),
-                                       this->callbacks());
+        this->tcp = TcpStream::connect(this->link.loop, address, this->callbacks());
     }
 
     void accept(const Poco::Net::StreamSocket &socket)
@@ -160,7 +162,13 @@
 
 void PeerLink::setAddress(HostId peer, const std::string &address)
 {
-    this->peer(peer).address = address;
+    Peer &entry = this->peer(peer);
+    if (address == entry.addressText)
+        return;
+    entry.addressText = address;
+    entry.address = parseNumericAddress(address);
+    if (!entry.address && !address.empty())
+        this->drop(address, "address", "it is not an IP number and a port");
 }
 
 void PeerLink::setPeerIncarnation(HostId id, Incarnation peerIncarnation)
@@ -187,11 +195,10 @@
     this->peers.erase(found);
 }
 
-void PeerLink::transmitFrame(const std::string &address, const std::string &frame)
+void PeerLink::transmitFrame(const Poco::Net::SocketAddress &address, const std::string &frame)
 {
     try {
-        this->datagrams.sendTo(frame.data(), static_cast<int>(frame.size()),
-                               Poco::Net::SocketAddress(address));
+        this->datagrams.sendTo(frame.data(), static_cast<int>(frame.size()), address);
         this->count.datagramsSent += 1;
         this->count.bytesSent += frame.size();
     } catch (const Poco::Exception &) {
@@ -205,7 +212,7 @@
     Peer &entry = this->peer(id);
     if (!entry.stream || !entry.stream->isOpen()) {
         entry.stream = std::make_shared<Stream>(*this);
-        entry.stream->connect(entry.address);
+        entry.stream->connect(*entry.address);
         this->count.streamsOpened += 1;
     }
     entry.stream->send(frame);
@@ -214,21 +221,21 @@
 
 void PeerLink::transmit(HostId id, const ChannelDatagram &datagram)
 {
-    const std::string &address = this->peer(id).address;
-    if (address.empty())
+    const std::optional<Poco::Net::SocketAddress> &address = this->peer(id).address;
+    if (!address)
         return;
     const std::string frame = this->keys.sign(FrameKind::Channel, encodeDatagram(datagram));
     if (datagram.payload.size() > maxDatagramPayloadBytes)
         this->transmitStream(id, frame);
     else
-        this->transmitFrame(address, frame);
+        this->transmitFrame(*address, frame);
 }
 
 void PeerLink::sendHeartbeat(HostId peer, const Heartbeat &heartbeat)
 {
-    const std::string &address = this->peer(peer).address;
-    if (!address.empty())
-        this->transmitFrame(address, this->keys.sign(FrameKind::Heartbeat, encode(heartbeat)));
+    const std::optional<Poco::Net::SocketAddress> &address = this->peer(peer).address;
+    if (address)
+        this->transmitFrame(*address, this->keys.sign(FrameKind::Heartbeat, encode(heartbeat)));
 }
 
 void PeerLink::send(HostId peer, std::string payload, Millis lifetime)
@@ -270,27 +277,49 @@
     }
 }
 
+void PeerLink::drop(const std::string &peer, std::string_view kind, const std::string &reason)
+{
+    this->count.malformed += 1;
+    if (const auto suppressed = this->dropLog.admit(SteadyClock::now()))
+        logEvent(LogEvent::PeerMessageDropped,
+                 "peer=" + quotable(peer) + " kind=" + std::string(kind) + " reason=\"" + reason
+                         + "\" suppressed=" + std::to_string(*suppressed));
+}
+
 void PeerLink::receive(std::string_view frame)
 {
     const auto verified = this->keys.verify(frame);
     if (!verified) {
-        this->count.malformed += 1;
+        this->drop("unknown", "frame", "it is malformed or its signature is invalid");
         return;
     }
     if (verified->kind == FrameKind::Heartbeat) {
-        const auto heartbeat = decode<Heartbeat>(verified->body);
-        if (!heartbeat) {
-            this->count.malformed += 1;
-            return;
-        }
-        this->callbacks.onHeartbeat(*heartbeat);
+        this->receiveHeartbeat(verified->body);
         return;
     }
     const auto datagram = decodeDatagram(verified->body);
     if (datagram)
         this->receiveDatagram(*datagram);
     else
-        this->count.malformed += 1;
+        this->drop("unknown", "datagram", "it cannot be decoded");
+}
+
+void PeerLink::receiveHeartbeat(const std::string &body)
+{
+    auto heartbeat = decode<Heartbeat>(body);
+    if (!heartbeat) {
+        this->drop("unknown", "heartbeat", "it cannot be decoded");
+        return;
+    }
+    const std::string senderProblem = memberProblem(heartbeat->sender);
+    if (!senderProblem.empty()) {
+        this->drop(heartbeat->sender.name, "heartbeat", senderProblem);
+        return;
+    }
+    const std::string entryProblem = removeInvalidEntries(*heartbeat);
+    if (!entryProblem.empty())
+        this->drop(heartbeat->sender.name, "gossip", entryProblem);
+    this->callbacks.onHeartbeat(*heartbeat);
 }
 
 void PeerLink::receiveDatagram(const ChannelDatagram &datagram)
--- a/src/connection/peerlink.h
+++ b/src/connection/peerlink.h
@@ -5,17 +5,21 @@
 #include "connection/frame.h"
 #include "connection/tcpstream.h"
 #include "process/eventloop.h"
+#include "process/loglimiter.h"
 #include "process/membership.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 
 #include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
 
 namespace quetzal {
 
@@ -55,7 +59,8 @@
              KeyRing keys, PeerCallbacks callbacks);
     ~PeerLink();
 
-    // Sets the address of a peer. Nothing is sent to a peer without an address.
+    // Sets the address of a peer, an IP number and a port. Nothing is sent to a peer without an
+    // address or with any other text.
     void setAddress(HostId peer, const std::string &address);
 
     // Sets the incarnation of a peer if no datagram has stated one yet.
@@ -97,6 +102,9 @@
     std::size_t unacknowledged() const;
 
 private:
+    // Time between two lines about dropped messages.
+    static constexpr Millis dropLogPeriod = Millis(10'000);
+
     class DatagramHandler;
     class AcceptHandler;
     class Stream;
@@ -104,7 +112,9 @@
     struct Peer
     {
         std::unique_ptr<Channel> channel;
-        std::string address;
+        std::string addressText;
+        // The address that the text names, if it names one.
+        std::optional<Poco::Net::SocketAddress> address;
         std::shared_ptr<Stream> stream;
         bool unresponsive = false;
     };
@@ -112,9 +122,12 @@
     // Returns the peer's state, which is created on first use.
     Peer &peer(HostId id);
     void transmit(HostId id, const ChannelDatagram &datagram);
-    void transmitFrame(const std::string &address, const std::string &frame);
+    void transmitFrame(const Poco::Net::SocketAddress &address, const std::string &frame);
     void transmitStream(HostId id, const std::string &frame);
     void receive(std::string_view frame);
+    void receiveHeartbeat(const std::string &body);
+    // Counts and logs a message that is not used.
+    void drop(const std::string &peer, std::string_view kind, const std::string &reason);
     void receiveDatagram(const ChannelDatagram &datagram);
     void readDatagrams();
     void acceptStream();
@@ -134,6 +147,7 @@
     std::unordered_map<HostId, Peer> peers;
     std::unordered_set<std::shared_ptr<Stream>> incomingStreams;
     PeerCounts count;
+    LogLimiter dropLog = LogLimiter(dropLogPeriod);
     Millis pausedAt = Millis(-1e12);
     TimerId timer = 0;
     Millis timerAt = Millis::never();
--- /dev/null
+++ b/tests/peerlinktest.cpp
@@ -0,0 +1,62 @@
+// The link to other hosts goes on whatever its owner does with what it reports.
+#include "connection/peerlink.h"
+#include "quetzal/steadyclock.h"
+
+#include <stdexcept>
+
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/ServerSocket.h>
+#include <doctest/doctest.h>
+
+using namespace quetzal;
+
+namespace {
+
+std::string freeAddress()
+{
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return socket.address().toString();
+}
+
+PeerCallbacks noCallbacks()
+{
+    PeerCallbacks callbacks;
+    callbacks.onHeartbeat = [](const Heartbeat &) {};
+    callbacks.onMessage = [](HostId, const std::string &) {};
+    callbacks.onUnresponsive = [](HostId) {};
+    callbacks.onResponsive = [](HostId) {};
+    callbacks.onRestarted = [](HostId) {};
+    return callbacks;
+}
+
+void run(EventLoop &loop, Millis span)
+{
+    const Millis end = SteadyClock::now() + span;
+    while (SteadyClock::now() < end)
+        loop.runOnce();
+}
+
+} // namespace
+
+TEST_CASE("a peer with an unusable address does not keep messages from other peers")
+{
+    EventLoop loop;
+    const std::string address = freeAddress();
+    int received = 0;
+    PeerCallbacks callbacks = noCallbacks();
+    callbacks.onMessage = [&received](HostId, const std::string &) { ++received; };
+    PeerLink receiver(loop, address, { 2 }, { 1 }, KeyRing({ { 0, "secret" } }),
+                      std::move(callbacks));
+    const std::string senderAddress = freeAddress();
+    PeerLink link(loop, senderAddress, { 1 }, { 1 }, KeyRing({ { 0, "secret" } }), noCallbacks());
+    receiver.setAddress({ 1 }, senderAddress);
+    link.setAddress({ 2 }, address);
+    link.setAddress({ 3 }, "fd00::17:8080");
+    // Sent over TCP.
+    const std::string large(5000, 'x');
+    CHECK_NOTHROW(link.send({ 3 }, large, Millis(2000)));
+    link.send({ 2 }, large, Millis(2000));
+    run(loop, Millis(1500));
+    CHECK(received == 1);
+    CHECK(loop.failureCount() == 0);
+}
--- a/tests/viewexchangetest.cpp
+++ b/tests/viewexchangetest.cpp
@@ -3,6 +3,7 @@
 #include "version/codec.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <Poco/Net/ServerSocket.h>
 #include <doctest/doctest.h>
@@ -287,3 +288,46 @@
     for (const auto &[id, record] : records)
         CHECK((id == "good" || record.registration.state == SearcherState::Gone));
 }
+
+TEST_CASE("an invalid member in a heartbeat is dropped alone")
+{
+    Exchange host;
+    OtherHost good(host, "127.0.0.2", "good");
+    OtherHost reporter(host, "127.0.0.3", "reporter");
+    good.join();
+    reporter.join();
+    REQUIRE(host.knows("good"));
+    MemberInfo third = good.info;
+    third.name = "third";
+    third.address = withPort("127.0.0.4", 9);
+    third.id = { stableHash(third.address) };
+    MemberInfo odd = third;
+    odd.name = "odd";
+    odd.id = { 17 };
+    SUBCASE("unknown state")
+    {
+        odd.state = static_cast<MemberState>(77);
+    }
+    SUBCASE("capacity that is not a number")
+    {
+        odd.capacity = std::numeric_limits<float>::quiet_NaN();
+    }
+    SUBCASE("address that is none")
+    {
+        odd.address = "fd00::17:8080";
+    }
+    SUBCASE("incarnation that cannot be exceeded")
+    {
+        odd.incarnation = { std::numeric_limits<std::uint64_t>::max() };
+    }
+    // Takes precedence over every valid state of the host, so no refutation could follow it.
+    const MemberUpdate oddState
+            = { good.info.id, good.info.incarnation, 0, static_cast<MemberState>(77) };
+    const MemberUpdate oddIncarnation
+            = { good.info.id, { std::numeric_limits<std::uint64_t>::max() }, 0, MemberState::Dead };
+    reporter.send(HeartbeatKind::Ping, 2, { odd, third }, { oddState, oddIncarnation });
+    CHECK(host.runUntil(Millis(300), [&] { return host.knows("third"); }));
+    CHECK(host.knows("good"));
+    CHECK_FALSE(host.knows("odd"));
+    CHECK(host.loop.failureCount() == 0);
+}
