Messages are retransmitted after a callback of the link to other hosts has failed

What was seen: if the owner threw while it handled an unresponsive peer, no message to any host was retransmitted until the next message was sent or received.

Cause: the timer was armed again only after all callbacks had returned, and send armed it only after the transmission had succeeded.

Now each peer is handled on its own by the timer, and send arms the timer first. The test failed before: 0 retransmissions in 1.2 s.

--- a/src/connection/peerlink.cpp
+++ b/src/connection/peerlink.cpp
@@ -241,8 +241,11 @@
 void PeerLink::send(HostId peer, std::string payload, Millis lifetime)
 {
     const Millis now = SteadyClock::now();
-    this->transmit(peer, this->peer(peer).channel->send(std::move(payload), now, now + lifetime));
+    const ChannelDatagram datagram
+            = this->peer(peer).channel->send(std::move(payload), now, now + lifetime);
+    // Comes first, so that the message is retransmitted if this transmission fails.
     this->armTimer();
+    this->transmit(peer, datagram);
 }
 
 void PeerLink::readDatagrams()
@@ -392,16 +395,21 @@
     std::vector<HostId> ids;
     for (const auto &[id, entry] : this->peers)
         ids.push_back(id);
-    for (const HostId id : ids) {
-        for (const ChannelDatagram &datagram : this->peer(id).channel->onTimer(now)) {
-            this->count.retransmissions += 1;
-            this->transmit(id, datagram);
-        }
-        this->checkResponsive(id, this->peer(id), now);
-    }
+    // The other peers must not depend on this one.
+    for (const HostId id : ids)
+        this->loop.runContained("timer", [&] { this->retransmit(id, now); });
     this->armTimer();
 }
 
+void PeerLink::retransmit(HostId id, Millis now)
+{
+    for (const ChannelDatagram &datagram : this->peer(id).channel->onTimer(now)) {
+        this->count.retransmissions += 1;
+        this->transmit(id, datagram);
+    }
+    this->checkResponsive(id, this->peer(id), now);
+}
+
 PeerCounts PeerLink::counts() const
 {
     return this->count;
--- a/src/connection/peerlink.h
+++ b/src/connection/peerlink.h
@@ -133,6 +133,8 @@
     void acceptStream();
     void armTimer();
     void onTimer();
+    // Sends a peer's messages again that are due.
+    void retransmit(HostId id, Millis now);
     void checkResponsive(HostId id, Peer &entry, Millis now);
 
     EventLoop &loop;
--- a/tests/peerlinktest.cpp
+++ b/tests/peerlinktest.cpp
@@ -38,6 +38,29 @@
 
 } // namespace
 
+TEST_CASE("messages are retransmitted after the owner has failed to handle an unresponsive peer")
+{
+    EventLoop loop;
+    bool failed = false;
+    PeerCallbacks callbacks = noCallbacks();
+    callbacks.onUnresponsive = [&failed](HostId) {
+        failed = true;
+        throw std::runtime_error("test");
+    };
+    PeerLink link(loop, freeAddress(), { 1 }, { 1 }, KeyRing({ { 0, "secret" } }),
+                  std::move(callbacks));
+    // Receives, but never acknowledges.
+    const Poco::Net::DatagramSocket silent(Poco::Net::SocketAddress("127.0.0.1", 0));
+    link.setAddress({ 2 }, silent.address().toString());
+    link.send({ 2 }, "message", Millis(3000));
+    run(loop, Millis(800));
+    REQUIRE(failed);
+    const std::uint64_t before = link.counts().retransmissions;
+    run(loop, Millis(1200));
+    // At least one in each longest time-out of 250 ms, less one.
+    CHECK(link.counts().retransmissions - before >= 3);
+}
+
 TEST_CASE("a peer with an unusable address does not keep messages from other peers")
 {
     EventLoop loop;
