A peer's revision whose chunks exist nowhere gives way to the store's revision

What was seen: after a peer had offered a manifest with a high revision and chunks that neither it nor the store has, a host refused every later valid revision as older; in the test, for a minute and without end.

Cause: a pending revision is replaced by a higher one only, and was never given up.

Now a peer's pending revision is given up when the store answers with its manifest and has been asked for the missing chunks for longer than an answer may take. An outage of the store gives up nothing, and a revision in force is never replaced by a lower one.

--- a/src/version/tablesync.cpp
+++ b/src/version/tablesync.cpp
@@ -37,7 +37,7 @@
 {
     const Revision known = this->pendingManifest ? this->pendingManifest->revision
                                                  : this->currentManifest.revision;
-    if (revision <= known)
+    if (revision <= known || this->isGivenUp(revision, now))
         return;
     const bool alreadyRequested = revision <= this->requestedRevision
                                   && now - this->requestedRevisionAt < this->times.responseTimeout;
@@ -68,10 +68,13 @@
     // Never return to an older revision.
     if (manifest->revision <= known)
         return;
+    if (peer != storeSource && this->isGivenUp(manifest->revision, now))
+        return;
     this->pendingManifest = manifest;
     this->pendingManifestBytes = bytes;
     this->pendingPeer = peer;
     this->pendingAttempts = 0;
+    this->storeAskedSince = Millis::never();
     ChunkMap availableChunks;
     for (const std::string &hash : manifest->chunks) {
         if (const auto currentChunk = this->chunk(hash))
@@ -84,6 +87,25 @@
     this->requestMissingChunks(now, out);
 }
 
+bool TableSync::isGivenUp(Revision revision, Millis now) const
+{
+    return revision == this->givenUpRevision && now < this->givenUpUntil;
+}
+
+bool TableSync::giveUpPending(Millis now)
+{
+    // The store is asked only after the peer.
+    const bool isHopeless = this->pendingManifest && this->pendingPeer != storeSource
+                            && this->storeAskedSince < Millis::never()
+                            && now >= this->storeAskedSince + this->times.responseTimeout;
+    if (!isHopeless)
+        return false;
+    this->givenUpRevision = this->pendingManifest->revision;
+    this->givenUpUntil = now + this->times.maxPendingWait;
+    this->pendingManifest.reset();
+    return true;
+}
+
 std::vector<std::string> TableSync::missingChunks() const
 {
     std::vector<std::string> result;
@@ -120,6 +142,7 @@
         out.push_back(std::move(action));
         return;
     }
+    this->storeAskedSince = std::min(this->storeAskedSince, now);
     for (std::string &hash : missing) {
         SyncAction action;
         action.kind = SyncActionKind::ReadChunk;
@@ -144,6 +167,7 @@
     const bool isNew = this->pendingChunks.emplace(hash, bytes).second;
     if (!isNew)
         return;
+    this->storeAskedSince = Millis::never();
     if (this->outstandingChunks > 0)
         this->outstandingChunks -= 1;
     if (this->outstandingChunks > 0)
@@ -193,8 +217,11 @@
     // that answers every watch early.
     this->nextStoreCallAt
             = now + (this->watcher ? Millis(20) : this->times.pollInterval) * this->jitter();
-    if (!bytes.empty())
+    // The store answers, so it is not for want of an answer that chunks are missing.
+    if (!bytes.empty()) {
+        this->giveUpPending(now);
         this->startFetch(storeSource, bytes, now, out);
+    }
     // The store answers again: read the missing chunks now, without waiting for the backoff to end.
     if (this->pendingManifest && this->pendingAttempts > maxPeerAttempts) {
         this->pendingAttempts = maxPeerAttempts;
--- a/src/version/tablesync.h
+++ b/src/version/tablesync.h
@@ -118,6 +118,11 @@
     void requestMissingChunks(Millis now, SyncActions &out);
     // Decodes and publishes the pending revision, all of whose chunks have arrived.
     void publishPending(Millis now, SyncActions &out);
+    // Gives up the pending revision of a peer if neither the peer nor the store has its chunks, so
+    // that the store's revision can take its place, and returns true if it did.
+    bool giveUpPending(Millis now);
+    // Returns true if a revision was given up a short time ago.
+    bool isGivenUp(Revision revision, Millis now) const;
     // Returns the hashes of the pending revision's missing chunks.
     std::vector<std::string> missingChunks() const;
     // Returns a random factor from 0.75 to 1.25.
@@ -142,6 +147,11 @@
     // again.
     Millis pendingRequestedAt;
     Millis pendingWait;
+    // Since when the store has been asked for chunks and none has arrived.
+    Millis storeAskedSince = Millis::never();
+    // The revision that was last given up, and until when it is not taken from a peer again.
+    Revision givenUpRevision;
+    Millis givenUpUntil;
     // The revision for which a manifest was last requested from a peer, and when.
     Revision requestedRevision;
     Millis requestedRevisionAt;
--- a/tests/tablestest.cpp
+++ b/tests/tablestest.cpp
@@ -249,3 +249,39 @@
     // Fewer than one call in three seconds over an hour's outage.
     CHECK(sync.storeCalls() - before < 1200);
 }
+
+TEST_CASE("a peer's revision whose chunks exist nowhere gives way to the store's revision")
+{
+    TableSync sync(SyncTimings(), 1);
+    sync.setWatcher(true);
+    SyncActions actions;
+    Manifest unobtainable;
+    unobtainable.revision = { std::uint64_t(1) << 62 };
+    unobtainable.chunks = { "0" };
+    const std::string unobtainableBytes = encode(unobtainable);
+    const EncodedRevision valid(7);
+    sync.onManifest({ 1 }, unobtainableBytes, Millis(0), actions);
+    // The store answers each call at once but does not have the chunk, and the peer goes on to
+    // offer its manifest.
+    Millis now;
+    for (; now < Millis(60'000) && sync.revision() != Revision{ 7 }; now += Millis(100)) {
+        actions.clear();
+        sync.onTimer(now, actions);
+        sync.onPeerRevision({ 1 }, unobtainable.revision, now, actions);
+        const SyncActions due = actions;
+        for (const SyncAction &action : due) {
+            if (action.kind == SyncActionKind::RequestPeerManifest)
+                sync.onManifest({ 1 }, unobtainableBytes, now, actions);
+            if (action.kind == SyncActionKind::ReadManifest
+                || action.kind == SyncActionKind::WatchManifest)
+                sync.onStoreManifest(true, 7, valid.bytes, now, actions);
+            if (action.kind == SyncActionKind::ReadChunk) {
+                const auto found = valid.chunks.find(action.chunks.front());
+                if (found != valid.chunks.end())
+                    sync.onChunk(found->first, found->second, now, actions);
+            }
+        }
+    }
+    CHECK(sync.revision() == Revision{ 7 });
+    CHECK(now < Millis(10'000));
+}
