One invalid entry in the platform's list of hosts does not hide the others

What was seen: an entry that is not an object or lacks a field made the whole list be ignored for as long as it was there, silently: no new host and no leaving searcher was learned.

Cause: one handler of exceptions around the whole list.

Now each host and each leaving searcher is read on its own; an invalid one, also one whose address is not an IP number and a port, is left out and logged as QZ1210.

--- a/src/process/hostagent.h
+++ b/src/process/hostagent.h
@@ -21,6 +21,8 @@
 #include <unordered_set>
 #include <vector>
 
+#include <Poco/JSON/Object.h>
+
 namespace quetzal {
 
 // Events that the control loop passes on to the entry and relay loops of the host.
@@ -88,6 +90,9 @@
     std::size_t unacknowledged() const { return this->link->unacknowledged(); }
 
 private:
+    // Time between two lines about invalid entries of the list of hosts.
+    static constexpr Millis droppedEntryLogPeriod = Millis(10'000);
+
     void onHeartbeat(const Heartbeat &heartbeat);
     void onMessage(HostId from, const std::string &payload);
     void onTableRequest(HostId from, const TableRequest &request);
@@ -112,6 +117,11 @@
     // Polls the platform's list of hosts, which contains the seeds and the leaving searchers.
     void pollHosts();
     void onHostList(const std::string &body);
+    // Reads the hosts and the leaving searchers of the platform's list. Invalid entries are logged
+    // and left out.
+    std::vector<MemberInfo> readHosts(const Poco::JSON::Object &list);
+    std::unordered_set<SearcherId> readLeaving(const Poco::JSON::Object &list);
+    void dropHostEntry(const std::string &entry, const std::string &reason);
     void refreshPeers();
     // Sends all local reports to all hosts periodically, in case one was lost.
     void refreshReports();
@@ -154,6 +164,7 @@
     std::uint64_t appliedChangeCount = 0;
     Millis nextEligibleCheck;
     bool storeReachable = true;
+    LogLimiter droppedEntryLog = LogLimiter(droppedEntryLogPeriod);
     bool stopping = false;
     bool loggedReady = false;
     std::uint64_t loggedCorrupt = 0;
--- a/src/process/hosttables.cpp
+++ b/src/process/hosttables.cpp
@@ -2,6 +2,7 @@
 #include "process/hostagent.h"
 
 #include "process/eventlog.h"
+#include "process/heartbeatcheck.h"
 #include "quetzal/steadyclock.h"
 #include "version/store.h"
 
@@ -154,28 +155,64 @@
                        });
 }
 
-void HostAgent::onHostList(const std::string &body)
+void HostAgent::dropHostEntry(const std::string &entry, const std::string &reason)
+{
+    if (const auto suppressed = this->droppedEntryLog.admit(SteadyClock::now()))
+        logEvent(LogEvent::HostEntryDropped,
+                 "entry=\"" + quotable(entry) + "\" reason=\"" + reason
+                         + "\" suppressed=" + std::to_string(*suppressed));
+}
+
+std::vector<MemberInfo> HostAgent::readHosts(const Poco::JSON::Object &list)
 {
     std::vector<MemberInfo> seeds;
-    std::unordered_set<SearcherId> nowLeaving;
-    try {
-        Poco::JSON::Parser parser;
-        const auto json = parser.parse(body).extract<Poco::JSON::Object::Ptr>();
-        const auto list = json->getArray("hosts");
-        for (unsigned i = 0; list && i < list->size(); ++i) {
-            const auto entry = list->getObject(i);
+    const auto entries = list.getArray("hosts");
+    for (unsigned i = 0; entries && i < entries->size(); ++i) {
+        try {
+            const auto entry = entries->get(i).extract<Poco::JSON::Object::Ptr>();
             MemberInfo seed;
             seed.name = entry->getValue<std::string>("name");
             seed.id = { stableHash(seed.name) };
             seed.zone = entry->getValue<std::string>("zone");
             seed.address = entry->getValue<std::string>("address");
-            seeds.push_back(std::move(seed));
+            const std::string problem = memberProblem(seed);
+            if (problem.empty())
+                seeds.push_back(std::move(seed));
+            else
+                this->dropHostEntry(seed.name, problem);
+        } catch (const std::exception &failure) {
+            this->dropHostEntry("hosts[" + std::to_string(i) + "]", describe(failure));
         }
-        const auto leavingList = json->getArray("leaving_searchers");
-        for (unsigned i = 0; leavingList && i < leavingList->size(); ++i)
-            nowLeaving.insert({ stableHash(leavingList->getElement<std::string>(i)) });
-    } catch (const Poco::Exception &) {
-        // Ignores a malformed list, as it is polled again soon.
+    }
+    return seeds;
+}
+
+std::unordered_set<SearcherId> HostAgent::readLeaving(const Poco::JSON::Object &list)
+{
+    std::unordered_set<SearcherId> result;
+    const auto entries = list.getArray("leaving_searchers");
+    for (unsigned i = 0; entries && i < entries->size(); ++i) {
+        try {
+            result.insert({ stableHash(entries->get(i).extract<std::string>()) });
+        } catch (const std::exception &failure) {
+            this->dropHostEntry("leaving_searchers[" + std::to_string(i) + "]", describe(failure));
+        }
+    }
+    return result;
+}
+
+void HostAgent::onHostList(const std::string &body)
+{
+    std::vector<MemberInfo> seeds;
+    std::unordered_set<SearcherId> nowLeaving;
+    try {
+        Poco::JSON::Parser parser;
+        const auto list = parser.parse(body).extract<Poco::JSON::Object::Ptr>();
+        seeds = this->readHosts(*list);
+        nowLeaving = this->readLeaving(*list);
+    } catch (const std::exception &failure) {
+        // The list is polled again soon.
+        this->dropHostEntry("list", describe(failure));
         return;
     }
     this->membership.addSeeds(seeds, SteadyClock::now());
