Invalid searchers and routes in the store's tables are left out alone

What was seen: quetzald used chunks of the store as they were decoded. A route with an unknown priority indexes an array, and a searcher with an odd address throws wherever a connection is made.

The chunks are passed on to other hosts unchanged. The test failed before.

--- a/src/process/hosttables.cpp
+++ b/src/process/hosttables.cpp
@@ -5,6 +5,7 @@
 #include "process/heartbeatcheck.h"
 #include "quetzal/steadyclock.h"
 #include "version/store.h"
+#include "version/viewcheck.h"
 
 #include <algorithm>
 
@@ -125,9 +126,22 @@
                     });
 }
 
+// Returns the tables without the entries that cannot be used, which are logged.
+static std::shared_ptr<const RoutingTables>
+withoutInvalid(const std::shared_ptr<const RoutingTables> &tables)
+{
+    if (tablesProblem(*tables).empty())
+        return tables;
+    auto valid = std::make_shared<RoutingTables>(*tables);
+    for (const auto &[entry, reason] : removeInvalid(*valid))
+        logEvent(LogEvent::TableEntryDropped,
+                 "entry=\"" + quotable(entry) + "\" reason=\"" + reason + "\"");
+    return valid;
+}
+
 void HostAgent::publishTables(const std::shared_ptr<const RoutingTables> &next)
 {
-    this->tables = next;
+    this->tables = withoutInvalid(next);
     logEvent(LogEvent::TablesInForce, "revision=" + std::to_string(next->revision.value));
     this->membership.setRevision(next->revision);
     this->publishSnapshot();
--- a/src/version/viewcheck.cpp
+++ b/src/version/viewcheck.cpp
@@ -56,6 +56,27 @@
     return {};
 }
 
+std::vector<std::pair<std::string, std::string>> removeInvalid(RoutingTables &tables)
+{
+    std::vector<std::pair<std::string, std::string>> removed;
+    std::erase_if(tables.routes, [&](const Route &route) {
+        if (isValid(route))
+            return false;
+        removed.emplace_back(route.name, "a field of the route has no valid value");
+        return true;
+    });
+    for (Pool &pool : tables.pools) {
+        std::erase_if(pool.searchers, [&](const Searcher &searcher) {
+            if (isValid(searcher))
+                return false;
+            removed.emplace_back(searcher.address, "the address is not an IP number and a port, or "
+                                                   "the time to connect is not valid");
+            return true;
+        });
+    }
+    return removed;
+}
+
 std::string dropInvalid(SearcherRegistration &registration)
 {
     std::string problem = registrationProblem(registration);
--- a/src/version/viewcheck.h
+++ b/src/version/viewcheck.h
@@ -4,6 +4,8 @@
 #include "version/servingview.h"
 
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace quetzal {
 
@@ -12,6 +14,9 @@
 // program, and no part of them is used.
 std::string tablesProblem(const RoutingTables &tables);
 
+// Removes the routes and searchers that cannot be used. Returns the name of each and the reason.
+std::vector<std::pair<std::string, std::string>> removeInvalid(RoutingTables &tables);
+
 // Turns a registration that cannot be used into one that is Gone, so that an older one of the same
 // searcher is not used either. Returns why it cannot be used, or an empty text if it can.
 std::string dropInvalid(SearcherRegistration &registration);
--- a/tests/hostagenttest.cpp
+++ b/tests/hostagenttest.cpp
@@ -132,3 +132,34 @@
     CHECK(current->leaving.contains({ stableHash("127.0.0.1:7") }));
     CHECK(fixture.loop.failureCount() == 0);
 }
+
+TEST_CASE("invalid searchers and routes in the store's tables are left out alone")
+{
+    HostWithList fixture("{}");
+    TableContents contents;
+    contents.zones = { "z" };
+    contents.pools.emplace_back();
+    contents.pools[0].name = "s";
+    Searcher searcher;
+    searcher.pool = "s";
+    searcher.zone = "z";
+    searcher.address = "127.0.0.1:9";
+    contents.pools[0].searchers.push_back(searcher);
+    searcher.address = "fd00::17:8080";
+    contents.pools[0].searchers.push_back(searcher);
+    contents.routes.resize(2);
+    contents.routes[0].name = "good";
+    contents.routes[1].name = "odd";
+    contents.routes[1].priority = static_cast<Priority>(77);
+    fixture.storeTables(contents);
+    const Millis end = SteadyClock::now() + Millis(5000);
+    while (fixture.agent->status().revision != Revision{ 1 } && SteadyClock::now() < end)
+        fixture.loop.runOnce();
+    const auto current = fixture.snapshot.read();
+    REQUIRE(current);
+    REQUIRE(current->tables);
+    CHECK(current->searchers.size() == 1);
+    CHECK(current->searchers.contains({ stableHash("127.0.0.1:9") }));
+    REQUIRE(current->tables->routes.size() == 1);
+    CHECK(current->tables->routes[0].name == "good");
+}
