A searcher with an unusable address does not keep a relay from the others

Work for a searcher with an odd address got no reply at all, because the exception lost the remaining actions and the queue waited for good for a connection that was never begun.

Cause: parsing the address throws while a connection is made, and left the loop over the searchers.

Now a connection that cannot be begun counts as one that failed, and each searcher is updated on its own. A lack of file descriptors does not throw there: TcpStream reports it as a failed connection.

--- a/src/connection/relayservice.cpp
+++ b/src/connection/relayservice.cpp
@@ -88,6 +88,17 @@
     }
 }
 
+static void updateDriver(SearcherDriver &driver, SearcherId id, const RoutingSnapshot &current)
+{
+    const auto location = current.searchers.find(id);
+    const bool listed = location != current.searchers.end();
+    driver.setOwned(listed && location->second.owner == current.self);
+    if (listed)
+        driver.setLimits(limitsOf(*location->second.searcher));
+    // A searcher that was removed from the tables is drained too.
+    driver.setLeaving(!listed || current.leaving.contains(id));
+}
+
 void RelayService::onSnapshot()
 {
     const std::shared_ptr<const RoutingSnapshot> current = this->snapshot.read();
@@ -100,15 +111,13 @@
             this->driver(id, *current);
     }
     std::vector<SearcherId> removed;
-    for (const auto &[id, driver] : this->drivers) {
-        const auto location = current->searchers.find(id);
-        const bool listed = location != current->searchers.end();
-        driver->setOwned(listed && location->second.owner == current->self);
-        if (listed)
-            driver->setLimits(limitsOf(*location->second.searcher));
-        // A searcher that was removed from the tables is drained too.
-        driver->setLeaving(!listed || current->leaving.contains(id));
-        if (!listed && driver->idle())
+    for (const auto &entry : this->drivers) {
+        const SearcherId id = entry.first;
+        SearcherDriver &driver = *entry.second;
+        const bool listed = current->searchers.contains(id);
+        // The other searchers must not depend on this one.
+        this->context.loop.runContained("view", [&] { updateDriver(driver, id, *current); });
+        if (!listed && driver.idle())
             removed.push_back(id);
     }
     for (const SearcherId id : removed)
--- a/src/connection/searcherdriver.cpp
+++ b/src/connection/searcherdriver.cpp
@@ -127,7 +127,20 @@
         this->queue.onClosed(number, bytesSent, SteadyClock::now(), actions);
         this->perform(actions);
     };
-    this->connections[number] = HttpClient::connect(this->context.loop, this->address, callbacks);
+    if (auto connection = this->connect(callbacks))
+        this->connections[number] = std::move(connection);
+}
+
+std::shared_ptr<HttpClient> SearcherDriver::connect(const HttpClientCallbacks &callbacks)
+{
+    try {
+        return HttpClient::connect(this->context.loop, this->address, callbacks);
+    } catch (const std::exception &) {
+        // The address cannot be parsed. Posted, because the failure of a connection is reported
+        // after this function has returned.
+        this->context.loop.post([onClosed = callbacks.onClosed] { onClosed(false); });
+        return nullptr;
+    }
 }
 
 void SearcherDriver::sendWork(ConnectionNumber number, const WorkKey &key)
@@ -390,7 +403,7 @@
             logEvent(LogEvent::SearcherStatusLost, "searcher=" + this->address);
         this->statusLost = true;
     };
-    this->statusConnection = HttpClient::connect(this->context.loop, this->address, callbacks);
+    this->statusConnection = this->connect(callbacks);
 }
 
 void SearcherDriver::onStatus(const HttpResponse &response)
--- a/src/connection/searcherdriver.h
+++ b/src/connection/searcherdriver.h
@@ -81,6 +81,8 @@
 private:
     void perform(const RelayActions &actions);
     void openConnection(ConnectionNumber number);
+    // Returns null if no connection can be made, and calls onClosed later.
+    std::shared_ptr<HttpClient> connect(const HttpClientCallbacks &callbacks);
     void sendWork(ConnectionNumber number, const WorkKey &key);
     void onResponse(ConnectionNumber number, const HttpResponse &response);
     void finishWork(ConnectionNumber number, const HttpResponse &response);
