Periodic work of quetzald is scheduled before it does anything that can throw

Cause: heartbeats, the synchronization of tables, the removal of expired request ids and the count of dropped spans were scheduled again only at their end. The event loop contains an exception, so such work would have stopped silently and for good.

Now they are scheduled first; the two whose next time depends on their work use a short fallback until it is known. Tables that were synchronized but not put in force, because an earlier action failed, are put in force by the next run. Replies that could not be sent are not sent again half moved-from.

Found by reading; no test makes these functions throw.

--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -254,13 +254,13 @@
 
 void Daemon::logDroppedSpans()
 {
+    this->controlLoop.schedule(SteadyClock::now() + droppedSpansCheckPeriod,
+                               [this] { this->logDroppedSpans(); });
     const std::uint64_t dropped = this->traces.dropped();
     if (dropped > this->loggedDroppedSpans)
         logEvent(LogEvent::TraceDropped,
                  "count=" + std::to_string(dropped - this->loggedDroppedSpans));
     this->loggedDroppedSpans = dropped;
-    this->controlLoop.schedule(SteadyClock::now() + droppedSpansCheckPeriod,
-                               [this] { this->logDroppedSpans(); });
 }
 
 void Daemon::shutdown()
--- a/src/process/hostagent.cpp
+++ b/src/process/hostagent.cpp
@@ -16,6 +16,8 @@
 namespace quetzal {
 
 static constexpr Millis reportRefreshPeriod = Millis(5000);
+// Time after which a timer runs again if it failed.
+static constexpr Millis timerFallback = Millis(200);
 static constexpr Millis statusCheckPeriod = Millis(500);
 // Time for which a message is retransmitted if it is not acknowledged.
 static constexpr Millis controlMessageLifetime = Millis(2000);
@@ -127,7 +129,9 @@
 void HostAgent::flushReplies()
 {
     this->flushPosted = false;
-    for (auto &[entry, replies] : this->pendingReplies) {
+    auto batches = std::move(this->pendingReplies);
+    this->pendingReplies.clear();
+    for (auto &[entry, replies] : batches) {
         // Packs as many replies into a datagram as fit. A reply that is larger is sent by itself.
         SubReplies part;
         std::size_t bytes = 0;
@@ -143,7 +147,6 @@
         }
         this->sendMessage(entry, MessageKind::SubReplies, part, replyLifetime);
     }
-    this->pendingReplies.clear();
 }
 
 void HostAgent::onMessage(HostId from, const std::string &payload)
@@ -242,6 +245,7 @@
 void HostAgent::runMembershipTimer()
 {
     const Millis now = SteadyClock::now();
+    this->scheduleMembership(now + timerFallback);
     std::vector<OutgoingHeartbeat> out;
     this->membership.onTimer(now, out);
     this->sendHeartbeats(out);
@@ -251,9 +255,13 @@
         this->appliedChangeCount = 0;
     }
     this->applyMembershipChanges();
+    this->scheduleMembership(this->membership.nextTimer());
+}
+
+void HostAgent::scheduleMembership(Millis at)
+{
     this->loop.cancel(this->membershipTimer);
-    this->membershipTimer = this->loop.schedule(this->membership.nextTimer(),
-                                                [this] { this->runMembershipTimer(); });
+    this->membershipTimer = this->loop.schedule(at, [this] { this->runMembershipTimer(); });
 }
 
 void HostAgent::applyMembershipChanges()
--- a/src/process/hostagent.h
+++ b/src/process/hostagent.h
@@ -104,11 +104,13 @@
     void sendHeartbeats(std::vector<OutgoingHeartbeat> &heartbeats);
     // Runs the timer of the membership protocol and schedules it again.
     void runMembershipTimer();
+    void scheduleMembership(Millis at);
     // Applies changes of the membership to the peer link, the log and the snapshot.
     void applyMembershipChanges();
     void logMemberChanges();
     // Runs the timer of the table synchronization and schedules it again.
     void runTableSync();
+    void scheduleTableSync(Millis at);
     void performSync(const SyncActions &actions);
     // Reads the manifest from the store, or waits there for it to change.
     void requestManifest(const SyncAction &action);
@@ -157,7 +159,9 @@
     std::unordered_map<SearcherId, SearcherReport> localReports;
     std::map<HostId, SubReplies> pendingReplies;
     bool flushPosted = false;
+    // The tables in force, and those of the synchronization that they were made from.
     std::shared_ptr<const RoutingTables> tables;
+    std::shared_ptr<const RoutingTables> syncedTables;
     // Number of the snapshot published last.
     std::uint64_t generation = 0;
     // Membership::changeCount at the last applyMembershipChanges.
--- a/src/process/hosttables.cpp
+++ b/src/process/hosttables.cpp
@@ -22,6 +22,8 @@
 // Time for which a message is retransmitted if it is not acknowledged.
 static constexpr Millis controlMessageLifetime = Millis(2000);
 static constexpr Millis chunkTimeout = Millis(2000);
+// Time after which the timer of the tables runs again if it failed.
+static constexpr Millis syncFallback = Millis(500);
 static constexpr int statusOk = 200;
 static constexpr int statusNotFound = 404;
 
@@ -52,12 +54,21 @@
 
 void HostAgent::runTableSync()
 {
+    const Millis now = SteadyClock::now();
+    this->scheduleTableSync(now + syncFallback);
     SyncActions actions;
-    this->sync.onTimer(SteadyClock::now(), actions);
+    this->sync.onTimer(now, actions);
     this->performSync(actions);
+    // An action before the one that publishes them may have failed.
+    if (this->sync.tables() != this->syncedTables)
+        this->publishTables(this->sync.tables());
+    this->scheduleTableSync(this->sync.nextTimer());
+}
+
+void HostAgent::scheduleTableSync(Millis at)
+{
     this->loop.cancel(this->tablesTimer);
-    this->tablesTimer
-            = this->loop.schedule(this->sync.nextTimer(), [this] { this->runTableSync(); });
+    this->tablesTimer = this->loop.schedule(at, [this] { this->runTableSync(); });
 }
 
 void HostAgent::performSync(const SyncActions &actions)
@@ -142,6 +153,7 @@
 void HostAgent::publishTables(const std::shared_ptr<const RoutingTables> &next)
 {
     this->tables = withoutInvalid(next);
+    this->syncedTables = next;
     logEvent(LogEvent::TablesInForce, "revision=" + std::to_string(next->revision.value));
     this->membership.setRevision(next->revision);
     this->publishSnapshot();
--- a/src/request/onceservice.cpp
+++ b/src/request/onceservice.cpp
@@ -43,8 +43,8 @@
 
 void OnceService::sweep()
 {
-    this->registry.removeExpired(SteadyClock::now());
     this->loop.schedule(SteadyClock::now() + sweepPeriod, [this] { this->sweep(); });
+    this->registry.removeExpired(SteadyClock::now());
 }
 
 std::vector<HostId> OnceService::replicasFor(const std::string &key) const
