Test: a message that finds no free file descriptor is sent again

Shows that a lack of descriptors does not make the link to other hosts throw in its caller. The test passes without a change of the program.

--- a/tests/peerlinktest.cpp
+++ b/tests/peerlinktest.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/ServerSocket.h>
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 using namespace quetzal;
 
@@ -83,3 +84,28 @@
     CHECK(received == 1);
     CHECK(loop.failureCount() == 0);
 }
+
+TEST_CASE("a message that finds no free file descriptor is sent again")
+{
+    EventLoop loop;
+    const std::string address = freeAddress();
+    const std::string senderAddress = freeAddress();
+    int received = 0;
+    PeerCallbacks callbacks = noCallbacks();
+    callbacks.onMessage = [&received](HostId, const std::string &) { ++received; };
+    PeerLink receiver(loop, address, { 2 }, { 1 }, KeyRing({ { 0, "secret" } }),
+                      std::move(callbacks));
+    PeerLink link(loop, senderAddress, { 1 }, { 1 }, KeyRing({ { 0, "secret" } }), noCallbacks());
+    receiver.setAddress({ 1 }, senderAddress);
+    link.setAddress({ 2 }, address);
+    rlimit limit = {};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    rlimit exhausted = limit;
+    exhausted.rlim_cur = 3;
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &exhausted) == 0);
+    // Sent over TCP.
+    CHECK_NOTHROW(link.send({ 2 }, std::string(5000, 'x'), Millis(3000)));
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+    run(loop, Millis(1500));
+    CHECK(received == 1);
+}
