--- a/src/process/hosttables.cpp
+++ b/src/process/hosttables.cpp
@@ -2,8 +2,10 @@
 #include "process/hostagent.h"
 
 #include "process/eventlog.h"
+#include "process/heartbeatcheck.h"
 #include "quetzal/steadyclock.h"
 #include "version/store.h"
+#include "version/viewcheck.h"
 
 #include <algorithm>
 
@@ -20,6 +22,8 @@
 // Time for which a message is retransmitted if it is not acknowledged.
 static constexpr Millis controlMessageLifetime = Millis(2000);
 static constexpr Millis chunkTimeout = Millis(2000);
+// Time after which the timer of the tables runs again if it failed.
+static constexpr Millis syncFallback = Millis(500);
 static constexpr int statusOk = 200;
 static constexpr int statusNotFound = 404;
 
@@ -50,12 +54,21 @@
 
 void HostAgent::runTableSync()
 {
+    const Millis now = SteadyClock::now();
+    this->scheduleTableSync(now + syncFallback);
     SyncActions actions;
-    this->sync.onTimer(SteadyClock::now(), actions);
+    this->sync.onTimer(now, actions);
     this->performSync(actions);
+    // An action before the one that publishes them may have failed.
+    if (this->sync.tables() != this->syncedTables)
+        this->publishTables(this->sync.tables());
+    this->scheduleTableSync(this->sync.nextTimer());
+}
+
+void HostAgent::scheduleTableSync(Millis at)
+{
     this->loop.cancel(this->tablesTimer);
-    this->tablesTimer
-            = this->loop.schedule(this->sync.nextTimer(), [this] { this->runTableSync(); });
+    this->tablesTimer = this->loop.schedule(at, [this] { this->runTableSync(); });
 }
 
 void HostAgent::performSync(const SyncActions &actions)
@@ -124,9 +137,23 @@
                     });
 }
 
+// Returns the tables without the entries that cannot be used, which are logged.
+static std::shared_ptr<const RoutingTables>
+withoutInvalid(const std::shared_ptr<const RoutingTables> &tables)
+{
+    if (tablesProblem(*tables).empty())
+        return tables;
+    auto valid = std::make_shared<RoutingTables>(*tables);
+    for (const auto &[entry, reason] : removeInvalid(*valid))
+        logEvent(LogEvent::TableEntryDropped,
+                 "entry=\"" + quotable(entry) + "\" reason=\"" + reason + "\"");
+    return valid;
+}
+
 void HostAgent::publishTables(const std::shared_ptr<const RoutingTables> &next)
 {
-    this->tables = next;
+    this->tables = withoutInvalid(next);
+    this->syncedTables = next;
     logEvent(LogEvent::TablesInForce, "revision=" + std::to_string(next->revision.value));
     this->membership.setRevision(next->revision);
     this->publishSnapshot();
@@ -154,28 +181,64 @@
                        });
 }
 
-void HostAgent::onHostList(const std::string &body)
+void HostAgent::dropHostEntry(const std::string &entry, const std::string &reason)
+{
+    if (const auto suppressed = this->droppedEntryLog.admit(SteadyClock::now()))
+        logEvent(LogEvent::HostEntryDropped,
+                 "entry=\"" + quotable(entry) + "\" reason=\"" + reason
+                         + "\" suppressed=" + std::to_string(*suppressed));
+}
+
+std::vector<MemberInfo> HostAgent::readHosts(const Poco::JSON::Object &list)
 {
     std::vector<MemberInfo> seeds;
-    std::unordered_set<SearcherId> nowLeaving;
-    try {
-        Poco::JSON::Parser parser;
-        const auto json = parser.parse(body).extract<Poco::JSON::Object::Ptr>();
-        const auto list = json->getArray("hosts");
-        for (unsigned i = 0; list && i < list->size(); ++i) {
-            const auto entry = list->getObject(i);
+    const auto entries = list.getArray("hosts");
+    for (unsigned i = 0; entries && i < entries->size(); ++i) {
+        try {
+            const auto entry = entries->get(i).extract<Poco::JSON::Object::Ptr>();
             MemberInfo seed;
             seed.name = entry->getValue<std::string>("name");
             seed.id = { stableHash(seed.name) };
             seed.zone = entry->getValue<std::string>("zone");
             seed.address = entry->getValue<std::string>("address");
-            seeds.push_back(std::move(seed));
+            const std::string problem = memberProblem(seed);
+            if (problem.empty())
+                seeds.push_back(std::move(seed));
+            else
+                this->dropHostEntry(seed.name, problem);
+        } catch (const std::exception &failure) {
+            this->dropHostEntry("hosts[" + std::to_string(i) + "]", describe(failure));
         }
-        const auto leavingList = json->getArray("leaving_searchers");
-        for (unsigned i = 0; leavingList && i < leavingList->size(); ++i)
-            nowLeaving.insert({ stableHash(leavingList->getElement<std::string>(i)) });
-    } catch (const Poco::Exception &) {
-        // Ignores a malformed list, as it is polled again soon.
+    }
+    return seeds;
+}
+
+std::unordered_set<SearcherId> HostAgent::readLeaving(const Poco::JSON::Object &list)
+{
+    std::unordered_set<SearcherId> result;
+    const auto entries = list.getArray("leaving_searchers");
+    for (unsigned i = 0; entries && i < entries->size(); ++i) {
+        try {
+            result.insert({ stableHash(entries->get(i).extract<std::string>()) });
+        } catch (const std::exception &failure) {
+            this->dropHostEntry("leaving_searchers[" + std::to_string(i) + "]", describe(failure));
+        }
+    }
+    return result;
+}
+
+void HostAgent::onHostList(const std::string &body)
+{
+    std::vector<MemberInfo> seeds;
+    std::unordered_set<SearcherId> nowLeaving;
+    try {
+        Poco::JSON::Parser parser;
+        const auto list = parser.parse(body).extract<Poco::JSON::Object::Ptr>();
+        seeds = this->readHosts(*list);
+        nowLeaving = this->readLeaving(*list);
+    } catch (const std::exception &failure) {
+        // The list is polled again soon.
+        this->dropHostEntry("list", describe(failure));
         return;
     }
     this->membership.addSeeds(seeds, SteadyClock::now());
