--- a/tests/peerlinktest.cpp
+++ b/tests/peerlinktest.cpp
@@ -1,5 +1,6 @@
 // The link to other hosts goes on whatever its owner does with what it reports.
 #include "connection/peerlink.h"
+#include "handlerfailures.h"
 #include "quetzal/steadyclock.h"
 
 #include <stdexcept>
@@ -46,6 +47,7 @@
     PeerCallbacks callbacks = noCallbacks();
     callbacks.onUnresponsive = [&failed](HostId) {
         failed = true;
+        expectedHandlerFailures += 1;
         throw std::runtime_error("test");
     };
     PeerLink link(loop, freeAddress(), { 1 }, { 1 }, KeyRing({ { 0, "secret" } }),
--- a/tests/viewexchangetest.cpp
+++ b/tests/viewexchangetest.cpp
@@ -331,3 +331,24 @@
     CHECK_FALSE(host.knows("odd"));
     CHECK(host.loop.failureCount() == 0);
 }
+
+TEST_CASE("an absurd revision in the view of another host does not keep later changes out"
+          * doctest::may_fail())
+{
+    Exchange host;
+    OtherHost faulty(host, "127.0.0.2", "faulty");
+    ViewDelta delta;
+    delta.completeRevision = absurdRevision;
+    delta.tables.emplace();
+    delta.tables->revision = { absurdRevision };
+    faulty.serve(delta);
+    faulty.info.revision = { absurdRevision };
+    faulty.join();
+    host.run(Millis(2000));
+    // What the store's feed does.
+    host.view.applyListing({ registration("good", 9) }, 10, SteadyClock::now(), {}, false);
+    RoutingTables tables;
+    tables.revision = { 10 };
+    CHECK(host.view.applyTables(std::move(tables)));
+    CHECK(host.view.directory().liveCount() == 1);
+}
