A searcher that sends replies to other requests without end is cut off

What callers saw: while one searcher answered with complete replies that carried other request ids, the loop parsed them until the deadline of the request.

Cause: foreign replies were skipped without a limit, as the expected reply may still follow, and the limit for interim responses starts anew with each final one.

Fix: an extra reply belongs to an earlier request on the connection, so more of them than requests were sent on it end the attempt as may-have-run, and close the connection.

Evidence: the test "endless bytes of a searcher..." failed for the new flood without the fix and passes with it.

--- a/src/connection/searcherlink.cpp
+++ b/src/connection/searcherlink.cpp
@@ -162,6 +162,7 @@
     }
     if (work.request->method == "HEAD")
         connection->reader.expectNoBody();
+    connection->requests += 1;
     connection->lastRequestId = work.request->requestId;
     connection->abandoned = false;
     connection->timeoutAt = work.deadline + silenceTimeout;
@@ -255,11 +256,7 @@
     const std::string keepAliveField = response.head.get("Keep-Alive", "");
     SearcherReply reply = this->codec.decodeReply(std::move(response), *connection->work->request);
     if (reply.requestIdMatch == RequestIdMatch::Different) {
-        this->metrics.add(Counter::ReplyMismatches);
-        connection->reusable = false;
-        // What a late reply does not mention may have begun since.
-        reply.statement.isInterim = true;
-        this->reportStatement(reply.statement, *connection);
+        this->handleForeignReply(connection, std::move(reply));
         return !connection->work;
     }
     const std::size_t position = keepAliveField.find("timeout=");
@@ -285,6 +282,21 @@
     return true;
 }
 
+void SearcherLink::handleForeignReply(const ConnectionPtr &connection, SearcherReply &&reply)
+{
+    this->metrics.add(Counter::ReplyMismatches);
+    connection->reusable = false;
+    connection->foreignReplies += 1;
+    // Each request has one extra reply at most; a searcher that sends more may never stop.
+    if (connection->foreignReplies > connection->requests) {
+        this->fail(connection, Fault::ReplyMismatch);
+        return;
+    }
+    // What a late reply does not mention may have begun since.
+    reply.statement.isInterim = true;
+    this->reportStatement(reply.statement, *connection);
+}
+
 void SearcherLink::reportStatement(const SearcherStatement &statement, const Connection &connection)
 {
     if (this->callbacks.onStatement)
--- a/src/connection/searcherlink.h
+++ b/src/connection/searcherlink.h
@@ -107,6 +107,9 @@
         bool abandoned = false;
         // False after a reply to another request was received.
         bool reusable = true;
+        // Number of requests sent, and of replies to other requests than the one that was open.
+        std::uint64_t requests = 0;
+        std::uint64_t foreignReplies = 0;
         // Id of the last request sent. Another attempt of that request is not sent here, as a
         // duplicate reply to the earlier attempt could be taken for its reply.
         std::string lastRequestId;
@@ -135,6 +138,8 @@
     void onData(const ConnectionPtr &connection, std::string_view data);
     void onClosed(const ConnectionPtr &connection);
     bool handleReply(const ConnectionPtr &connection, HttpResponse &&response);
+    // Handles a reply to another request, after which the expected reply may still follow.
+    void handleForeignReply(const ConnectionPtr &connection, SearcherReply &&reply);
     void reportStatement(const SearcherStatement &statement, const Connection &connection);
     // Passes a load report on, and logs that part of it is ignored.
     void reportLoad(const LoadReport &report);
--- a/tests/searcherlinktest.cpp
+++ b/tests/searcherlinktest.cpp
@@ -248,11 +248,14 @@
     std::string interim;
     std::string trailers = "HTTP/1.1 200 OK\r\nX-Quetzal-Seal: s\r\n"
                            "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+    std::string foreignReplies;
     for (int i = 0; i < 50'000; ++i) {
         interim += "HTTP/1.1 102 Processing\r\n\r\n";
         trailers += "Trailer: value\r\n";
+        foreignReplies += replyFor("other");
     }
-    for (const std::string &flood : { std::string(1'000'000, 'x'), interim, trailers }) {
+    for (const std::string &flood :
+         { std::string(1'000'000, 'x'), interim, trailers, foreignReplies }) {
         LinkFixture fixture({ { flood }, { replyFor("r1") } });
         fixture.submit(0, "r0");
         fixture.followUp = [&] { fixture.submit(1, "r1"); };
