Long parts no longer take a host's memory while other parts are awaited

What callers saw: a searcher that answers requests to all shards with long complete bodies, while another shard is slow, made the host keep every body until the target time. These replies were in no budget: with parts of 4 MB from four searchers and memory_mb 160, the process reached 840 MB in four seconds; a machine of that size runs out of memory and loses the requests of all its callers.

Cause: the memory budget counts partly received replies only. A complete part was kept whole although the merged answer takes at most result_size records of it.

Fix: a part is reduced to these records, and its fields are dropped, when it arrives. The greatest records of reduced parts are those of the whole ones, so answers are unchanged.

--- a/src/request/gateway.cpp
+++ b/src/request/gateway.cpp
@@ -70,6 +70,7 @@
     plan.target = entry.target;
     plan.deadline = entry.deadline;
     plan.minCoverage = entry.route->minCoverage;
+    plan.resultSize = entry.route->resultSize;
     plan.maxAttempts = std::max(1U, entry.route->maxAttempts);
     return plan;
 }
--- a/src/request/partrelay.cpp
+++ b/src/request/partrelay.cpp
@@ -371,6 +371,7 @@
     scatterRequest.plan.merged = true;
     scatterRequest.plan.isBatch = true;
     scatterRequest.plan.maxMissing = query.maxMissing;
+    scatterRequest.plan.resultSize = query.resultSize;
     scatterRequest.plan.target = now + Millis(query.targetMs);
     scatterRequest.plan.deadline = now + Millis(query.deadlineMs);
     scatterRequest.plan.maxAttempts = std::max(1U, query.maxAttempts);
--- a/src/request/scatter.cpp
+++ b/src/request/scatter.cpp
@@ -1,6 +1,7 @@
 #include "request/scatter.h"
 
 #include "quetzal/fault.h"
+#include "request/recordmerge.h"
 
 #include <algorithm>
 #include <cmath>
@@ -100,6 +101,8 @@
         this->mayHaveRun = true;
     if (outcome.succeeded() && state.phase == Phase::Pending) {
         state.phase = Phase::Answered;
+        if (this->plan.merged)
+            this->reduce(reply);
         state.reply = std::move(reply);
         state.nextAttemptAt = Millis::never();
         this->answered += 1;
@@ -116,6 +119,13 @@
     this->finishIfDue(now, out);
 }
 
+void Scatter::reduce(SearcherReply &reply) const
+{
+    if (reply.body.size() / recordBytes > this->plan.resultSize)
+        reply.body = mergeRecords({ reply.body }, this->plan.resultSize);
+    reply.fields = {};
+}
+
 void Scatter::onFailure(std::uint32_t shard, const Outcome &outcome, SearcherReply &&reply,
                         Millis now, ScatterActions &out)
 {
--- a/src/request/scatter.h
+++ b/src/request/scatter.h
@@ -8,6 +8,7 @@
 #include "request/shardpool.h"
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -30,6 +31,9 @@
     Millis deadline;
     // Share of the pools, from 0 to 1, whose replies a merged answer must hold.
     double minCoverage = 1;
+    // Number of records that a merged answer may hold. A part is reduced to that many on arrival,
+    // so that a long one does not take memory while others are awaited.
+    std::size_t resultSize = std::numeric_limits<std::size_t>::max();
     // Maximum number of searchers of each pool to which the request may be sent. The number of
     // attempts may be higher, as a searcher may be tried again.
     std::uint32_t maxAttempts = 1;
@@ -147,6 +151,8 @@
     // includeFallbacks is passed on to ShardPool::choose.
     std::shared_ptr<TrackedSearcher> choose(std::uint32_t shard, bool untried, Millis now,
                                             bool includeFallbacks);
+    // Drops what a merged answer does not take from a reply.
+    void reduce(SearcherReply &reply) const;
     // Returns the age of an attempt at which it is hedged.
     Millis hedgeDelay() const;
     // Returns the number of pools that must answer for the request to succeed.
--- a/tests/crowd/crowdhost.cpp
+++ b/tests/crowd/crowdhost.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <chrono>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <vector>
 
@@ -36,11 +37,12 @@
     exchange.respond(statusOk,
                      { { names.requestId, head.get(names.requestId, "") },
                        { names.load, "0,0,26" },
-                       { names.seal, "s.1" } },
-                     std::string(isLong ? CrowdHost::longAnswerBytes : 2, 'r'), "text/plain");
+                       { names.seal, head.get(names.target, "s") + ".1" } },
+                     std::string(isLong ? CrowdHost::longAnswerBytes : CrowdHost::recordBytes, 'r'),
+                     "text/plain");
 }
 
-CrowdHost::CrowdHost()
+CrowdHost::CrowdHost(const CrowdHostOptions &options)
 {
     std::string name = (std::filesystem::temp_directory_path() / "quetzal-crowd-XXXXXX").string();
     if (::mkdtemp(name.data()) == nullptr)
@@ -54,21 +56,15 @@
     const auto address = [&](std::size_t index) {
         return "\"127.0.0.1:" + std::to_string(ports[index]) + "\"";
     };
-    this->writeFile("routes.yaml", "routes:\n  - { name: all, match: { path: / }, "
-                                   "kind: one-searcher, pool: only, target_ms: 5000, "
-                                   "deadline_ms: 10000 }\n");
-    this->writeFile("pools.yaml", "zones: [here]\npools:\n  - { name: only, registered: true, "
-                                  "connection_cap: 26 }\n");
-    this->writeFile("searchers.yaml",
-                    "revision: 1\nsearchers:\n  - { id: s, pool: only, address: \""
-                            + this->searcher->address().toString()
-                            + "\", zone: here, slots: 26 }\n");
+    this->writeView(options);
     this->writeFile("settings.yaml",
                     "host: { name: crowd, zone: here }\nlisten: { callers: " + address(0)
                             + ", ready: " + address(1) + ", view: " + address(2) + ", heartbeat: "
                             + address(3) + ", metrics: " + address(4) + " }\nfiles: { routes: "
                             + this->path("routes.yaml") + ", pools: " + this->path("pools.yaml")
-                            + ", searchers: " + this->path("searchers.yaml") + " }\n");
+                            + ", searchers: " + this->path("searchers.yaml")
+                            + " }\nlimits: { memory_mb: " + std::to_string(options.memoryMb)
+                            + " }\n");
     this->child = std::make_unique<ChildProcess>(
             QUETZAL_GATEWAY,
             std::vector<std::string>{ "--settings=" + this->path("settings.yaml") },
@@ -93,6 +89,46 @@
     std::filesystem::remove_all(this->directory, ignored);
 }
 
+void CrowdHost::writeView(const CrowdHostOptions &options) const
+{
+    const std::string own = this->searcher->address().toString();
+    std::ostringstream routes;
+    std::ostringstream pools;
+    std::ostringstream searchers;
+    std::ostringstream shards;
+    routes << "routes:\n  - { name: all, match: { path: / }, kind: one-searcher, pool: only, "
+              "target_ms: "
+           << ordinaryTarget.count() << ", deadline_ms: 10000 }\n";
+    pools << "zones: [here]\npools:\n  - { name: only, registered: true, connection_cap: 26 }\n";
+    searchers << "revision: 1\nsearchers:\n";
+    const auto addSearcher
+            = [&](const std::string &id, const std::string &pool, const std::string &address) {
+                  searchers << "  - { id: " << id << ", pool: " << pool << ", address: \""
+                            << address << "\", zone: here, slots: 26 }\n";
+              };
+    addSearcher("s", "only", own);
+    for (std::size_t i = 0; i < options.faultyAddresses.size(); ++i) {
+        const std::string number = std::to_string(i);
+        const std::string pool = "p" + number;
+        shards << (i == 0 ? "" : ", ") << pool;
+        pools << "  - { name: " << pool << ", registered: true, connection_cap: 26 }\n";
+        routes << "  - { name: " << pool << ", match: { path: /" << pool
+               << "/ }, kind: one-searcher, pool: " << pool
+               << ", max_attempts: 3, target_ms: 1500, deadline_ms: 3000 }\n";
+        addSearcher("faulty" + number, pool, options.faultyAddresses[i]);
+        if (options.hasOwnInPools)
+            addSearcher("own" + number, pool, own);
+    }
+    if (!options.faultyAddresses.empty())
+        routes << "  - { name: shards, match: { path: /all/ }, kind: all-shards, shard_pools: ["
+               << shards.str()
+               << "], min_coverage: 0.5, max_attempts: 3, result_size: 10, target_ms: 1500, "
+                  "deadline_ms: 3000 }\n";
+    this->writeFile("routes.yaml", routes.str());
+    this->writeFile("pools.yaml", pools.str());
+    this->writeFile("searchers.yaml", searchers.str());
+}
+
 void CrowdHost::writeFile(const std::string &name, const std::string &text) const
 {
     std::ofstream(this->directory / name) << text;
--- a/tests/crowd/crowdhost.h
+++ b/tests/crowd/crowdhost.h
@@ -9,18 +9,33 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace quetzal {
 
+// What a host has besides its own searcher.
+struct CrowdHostOptions
+{
+    std::uint32_t memoryMb = 256;
+    // Addresses of faulty searchers. The pool "pN" has the one at index N and the host's own
+    // searcher; the route "/pN/" leads to that pool, and "/all/" to all such pools as shards.
+    std::vector<std::string> faultyAddresses;
+    // The host's own searcher is in these pools, too.
+    bool hasOwnInPools = true;
+};
+
 // Starts a searcher on a thread of the test and a gateway on free ports of 127.0.0.1, and waits
 // until the gateway is ready. The searcher answers "/long" with longAnswerBytes and all else
-// briefly.
+// with one record.
 class CrowdHost
 {
 public:
     static constexpr std::size_t longAnswerBytes = 1'048'576;
+    static constexpr std::size_t recordBytes = 16;
+    // Target time of requests that only the host's own searcher answers.
+    static constexpr Millis ordinaryTarget = Millis(5000);
 
-    CrowdHost();
+    explicit CrowdHost(const CrowdHostOptions &options = CrowdHostOptions());
     ~CrowdHost();
     CrowdHost(const CrowdHost &) = delete;
     CrowdHost &operator=(const CrowdHost &) = delete;
@@ -35,6 +50,7 @@
     int ordinaryStatus() const;
 
 private:
+    void writeView(const CrowdHostOptions &options) const;
     void writeFile(const std::string &name, const std::string &text) const;
     std::string path(const std::string &name) const { return (this->directory / name).string(); }
 
