Decoding creates no more elements than its input holds

What callers would see: a host whose view address, or whose messages, hold a damaged size can make another host create millions of elements before the first one is read, and end it for lack of memory.

Cause: a stated size was compared with the bytes that remain, one byte for each element, and cereal then created all elements at once. An element such as a registration takes hundreds of bytes, so an answer of 16 MB could ask for gigabytes.

Fix: elements are created one by one as they are read, so that their number follows from the bytes that are there.

--- a/src/version/codec.h
+++ b/src/version/codec.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <vector>
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
@@ -99,6 +100,19 @@
         throw cereal::Exception("container size exceeds the remaining input");
 }
 
+// Creates the elements as they are read: their stated number may be much larger than the number
+// that the input holds, and an element may be much larger than its shortest encoding.
+template <typename Element, typename Allocator>
+requires(!std::is_arithmetic_v<Element>) void CEREAL_LOAD_FUNCTION_NAME(
+        BoundedInputArchive &archive, std::vector<Element, Allocator> &elements)
+{
+    cereal::size_type size = 0;
+    archive(cereal::make_size_tag(size));
+    elements.clear();
+    for (cereal::size_type i = 0; i < size; ++i)
+        archive(elements.emplace_back());
+}
+
 template <typename Value>
 void CEREAL_SERIALIZE_FUNCTION_NAME(BoundedInputArchive &archive,
                                     cereal::NameValuePair<Value> &pair)
