--- a/tests/crowd/crowdhost.cpp
+++ b/tests/crowd/crowdhost.cpp
@@ -15,6 +15,7 @@
 namespace quetzal {
 
 static constexpr int statusOk = 200;
+static constexpr int statusNotReady = 503;
 
 // Returns ports that were free a moment ago.
 template <std::size_t count>
@@ -57,22 +58,25 @@
         return "\"127.0.0.1:" + std::to_string(ports[index]) + "\"";
     };
     this->writeView(options);
+    const std::string files = "files: { routes: " + this->path("routes.yaml")
+                              + ", pools: " + this->path("pools.yaml")
+                              + ", searchers: " + this->path("searchers.yaml") + " }\n";
+    const std::string store = "store: { address: \"" + options.storeAddress + "\" }\n";
     this->writeFile("settings.yaml",
                     "host: { name: crowd, zone: here }\nlisten: { callers: " + address(0)
-                            + ", ready: " + address(1) + ", view: " + address(2) + ", heartbeat: "
-                            + address(3) + ", metrics: " + address(4) + " }\nfiles: { routes: "
-                            + this->path("routes.yaml") + ", pools: " + this->path("pools.yaml")
-                            + ", searchers: " + this->path("searchers.yaml")
-                            + " }\nlimits: { memory_mb: " + std::to_string(options.memoryMb)
-                            + " }\n");
+                            + ", ready: " + address(1) + ", view: " + address(2)
+                            + ", heartbeat: " + address(3) + ", metrics: " + address(4) + " }\n"
+                            + (options.storeAddress.empty() ? files : store)
+                            + "limits: { memory_mb: " + std::to_string(options.memoryMb) + " }\n");
     this->child = std::make_unique<ChildProcess>(
             QUETZAL_GATEWAY,
             std::vector<std::string>{ "--settings=" + this->path("settings.yaml") },
             this->path("log"));
     this->thread = std::thread([this] { this->loop.run(); });
     static constexpr int readinessChecks = 200;
+    const int awaited = options.storeAddress.empty() ? statusOk : statusNotReady;
     for (int check = 0; check < readinessChecks; ++check) {
-        if (statusOf(ports[1], "GET / HTTP/1.1\r\nHost: h\r\n\r\n") == statusOk)
+        if (statusOf(ports[1], "GET / HTTP/1.1\r\nHost: h\r\n\r\n") == awaited)
             break;
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
--- a/tests/crowd/crowdhost.h
+++ b/tests/crowd/crowdhost.h
@@ -22,6 +22,9 @@
     std::vector<std::string> faultyAddresses;
     // The host's own searcher is in these pools, too.
     bool hasOwnInPools = true;
+    // Address of the store; if empty, the host has tables from files, and is awaited until it is
+    // ready.
+    std::string storeAddress;
 };
 
 // Starts a searcher on a thread of the test and a gateway on free ports of 127.0.0.1, and waits
--- a/tests/crowd/endlesstest.cpp
+++ b/tests/crowd/endlesstest.cpp
@@ -143,3 +143,33 @@
     run(loop, Millis(4000));
     checkHost(host, load, options);
 }
+
+// Guards against answers of the store that take many times their size once they are parsed.
+TEST_CASE("endless: a store answers without end or with too many values, and is asked again")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string objects = "{},{},{},{},{},{},{},{},";
+    const std::vector<EndlessScript> scripts = {
+        { ok + "Content-Length: 16777216\r\n\r\n{\"currentRev\":1,\"items\":[", objects },
+        { ok + "Content-Length: 16777216\r\n\r\n{\"currentRev\":1,\"items\":[", "1," },
+        { ok + "Content-Length: 16777216\r\n\r\n{\"currentRev\":\"", block(65'536, 'x') },
+        { ok + "\r\n{\"currentRev\":1,\"items\":[", objects },
+        { ok, "X-Field: value\r\n" },
+        { "", block(65'536, 'h'), false },
+    };
+    for (const EndlessScript &script : scripts) {
+        const EndlessSearchers store({ script });
+        CrowdHostOptions options;
+        options.memoryMb = 160;
+        options.storeAddress = store.address(0);
+        CrowdHost host(options);
+        const Millis end = SteadyClock::now() + Millis(5000);
+        EventLoop loop;
+        while (store.accepted(0) < 3 && SteadyClock::now() < end)
+            run(loop, Millis(50));
+        CHECK(store.accepted(0) >= 3);
+        CHECK(host.process().isAlive());
+        MESSAGE("peak in MB: ", host.process().peakResidentBytes() / megabyte);
+        CHECK(host.process().peakResidentBytes() < options.memoryMb * megabyte);
+    }
+}
