Long failures that are kept while others are tried count in the budget

What callers saw: a searcher that answers with long failures, beside one that sends slowly, made the host keep a failure for each request until its deadline, in no budget: 253 MB after four seconds with memory_mb 160.

Cause: a searcher's own failure is kept to be passed on if no other attempt succeeds, and complete replies were not counted.

Fix: a kept failure has an account of the memory budget. If the budget is exceeded, it is dropped; the request goes on, and without a success it ends with the host's own failure, which promises nothing.

--- a/src/request/scatter.cpp
+++ b/src/request/scatter.cpp
@@ -152,6 +152,22 @@
         this->markMissing(shard);
 }
 
+std::size_t Scatter::keptBytes() const
+{
+    std::size_t bytes = 0;
+    for (const ShardState &state : this->shards)
+        bytes += state.phase == Phase::Pending && state.reply ? state.reply->body.size() : 0;
+    return bytes;
+}
+
+void Scatter::dropKept()
+{
+    for (ShardState &state : this->shards) {
+        if (state.phase == Phase::Pending)
+            state.reply.reset();
+    }
+}
+
 bool Scatter::isAllowed(std::uint32_t shard, const TrackedSearcher &searcher) const
 {
     if (shard >= this->allowedSearchers.size() || this->allowedSearchers[shard].empty())
--- a/src/request/scatter.h
+++ b/src/request/scatter.h
@@ -109,6 +109,12 @@
     // Handles the caller's disconnection: ends the request and abandons its attempts.
     void onCallerGone(ScatterActions &out);
 
+    // Returns the bytes of failures that are kept in case that no further attempt succeeds.
+    std::size_t keptBytes() const;
+
+    // Drops these failures. If no further attempt succeeds, the answer has no reply.
+    void dropKept();
+
     // Returns the time at which onTimer must be called.
     Millis nextTimer() const { return this->timer; }
     bool finished() const { return this->done; }
--- a/src/request/scatterexecutor.cpp
+++ b/src/request/scatterexecutor.cpp
@@ -182,9 +182,26 @@
     }
     ScatterActions actions;
     entry.scatter->onEnd(now, id.ordinal, outcome, std::move(reply), actions);
+    this->updateAccount(id.query, entry);
     this->applyActions(id.query, actions);
 }
 
+void ScatterExecutor::updateAccount(QueryId id, RunningRequest &entry)
+{
+    const std::size_t bytes = entry.scatter->keptBytes();
+    if (!this->memoryBudget || (bytes == 0 && !entry.account))
+        return;
+    if (!entry.account)
+        entry.account = std::make_unique<MemoryAccount>(this->memoryBudget, [this, id] {
+            const auto found = this->requests.find(id);
+            if (found == this->requests.end())
+                return;
+            found->second.scatter->dropKept();
+            found->second.account.reset();
+        });
+    entry.account->set(bytes, SteadyClock::now());
+}
+
 void ScatterExecutor::armTimer(QueryId id)
 {
     RunningRequest &entry = this->requests.at(id);
--- a/src/request/scatterexecutor.h
+++ b/src/request/scatterexecutor.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "connection/httpcodec.h"
+#include "connection/memoryaccount.h"
 #include "connection/searcherlink.h"
 #include "process/eventloop.h"
 #include "process/metrics.h"
@@ -143,6 +144,8 @@
         std::function<void(ScatterAnswer &&)> done;
         // Searchers that the attempts were sent to, and when, by the attempts' ordinals.
         std::vector<std::pair<TargetPtr, Millis>> sent;
+        // Of the failures that are kept; null while there are none.
+        std::unique_ptr<MemoryAccount> account;
         TimerId timer = 0;
         // When the timer fires; never if it is not set.
         Millis timerAt = Millis::never();
@@ -157,6 +160,8 @@
     void onAttemptEnd(const TargetPtr &target, const AttemptId &id, const Outcome &outcome,
                       SearcherReply &&reply);
     void armTimer(QueryId id);
+    // Counts the failures that a request keeps in the memory budget.
+    void updateAccount(QueryId id, RunningRequest &entry);
     void onTimer(QueryId id);
     // Ends a request and calls its callback.
     void finish(QueryId id, ScatterAnswer &&answer);
--- a/tests/crowd/crowdhost.cpp
+++ b/tests/crowd/crowdhost.cpp
@@ -122,6 +122,8 @@
         addSearcher("faulty" + number, pool, options.faultyAddresses[i]);
         if (options.hasOwnInPools)
             addSearcher("own" + number, pool, own);
+        if (!options.sharedAddress.empty())
+            addSearcher("shared" + number, pool, options.sharedAddress);
     }
     if (!options.faultyAddresses.empty())
         routes << "  - { name: shards, match: { path: /all/ }, kind: all-shards, shard_pools: ["
--- a/tests/crowd/crowdhost.h
+++ b/tests/crowd/crowdhost.h
@@ -22,6 +22,8 @@
     std::vector<std::string> faultyAddresses;
     // The host's own searcher is in these pools, too.
     bool hasOwnInPools = true;
+    // Address of a further searcher that is in all of these pools.
+    std::string sharedAddress;
     // Address of the store; if empty, the host has tables from files, and is awaited until it is
     // ready.
     std::string storeAddress;
--- a/tests/crowd/endlesstest.cpp
+++ b/tests/crowd/endlesstest.cpp
@@ -173,3 +173,26 @@
         CHECK(host.process().peakResidentBytes() < options.memoryMb * megabyte);
     }
 }
+
+// Guards against failures of searchers that are kept whole while another searcher is tried.
+TEST_CASE("endless: failures of 4 MB are kept while a searcher that sends slowly is tried")
+{
+    const EndlessScript failure = { "HTTP/1.1 500 Failed\r\nX-Quetzal-Request-Id: {id}\r\n"
+                                    "X-Quetzal-Seal: faulty\r\nContent-Length: 4194304\r\n\r\n",
+                                    block(65'536, 'f') };
+    const EndlessScript slow = { std::string(okHead) + "\r\n", block(65'536, 's'), true, 200 };
+    const EndlessSearchers faulty({ failure, failure, failure, failure });
+    const EndlessSearchers shared({ slow });
+    CrowdHostOptions options = hostOptions(faulty, 160);
+    options.hasOwnInPools = false;
+    options.sharedAddress = shared.address(0);
+    CrowdHost host(options);
+    REQUIRE(host.ordinaryStatus() == 200);
+    EventLoop loop;
+    AnswerLoad load(loop, host.callersPort());
+    load.add("/ordinary", 20, Millis(20));
+    for (std::size_t i = 0; i < faulty.count(); ++i)
+        load.add("/p" + std::to_string(i) + "/x", 50, Millis(5));
+    run(loop, Millis(4000));
+    checkHost(host, load, options);
+}
