A watch whose answer can't be read gives way to a listing

The feed asked for the same events again from the same revision, so an answer that stays unreadable, or too large, kept every later change out for good (feedcontinuitytest: red without the change).

--- a/tests/feedcontinuitytest.cpp
+++ b/tests/feedcontinuitytest.cpp
@@ -106,6 +106,15 @@
     CHECK(fixture.view.tablesRevision().value == 1);
 }
 
+TEST_CASE("a watch whose answer can't be read gives way to a listing")
+{
+    FeedOnView fixture([] {});
+    fixture.store.breaksWatches = true;
+    REQUIRE(fixture.awaitTables(1, Millis(1000)));
+    CHECK(fixture.awaitTables(fixture.store.putTables(), Millis(3000)));
+    CHECK(fixture.awaitTables(fixture.store.putTables(), Millis(3000)));
+}
+
 TEST_CASE("a view whose newest tables were refused does not count as confirmed")
 {
     FeedOnView fixture([] {});
--- a/tests/platformstore.h
+++ b/tests/platformstore.h
@@ -67,8 +67,8 @@
     int watchCount = 0;
     // The longest time for which a watch was allowed to wait.
     int longestWaitMs = 0;
-    // The body of the next response, in place of the right one, if it is not empty.
-    std::string nextBody;
+    // Watches are answered with text that is no JSON.
+    bool breaksWatches = false;
 
 private:
     struct Item
@@ -86,14 +86,14 @@
             this->lostCalls.push_back(exchange);
             return;
         }
-        if (!this->nextBody.empty()) {
-            exchange->respond(200, {}, std::exchange(this->nextBody, {}));
-            return;
-        }
         if (!isWatch) {
             exchange->respond(200, {}, this->page("items", 0));
             return;
         }
+        if (this->breaksWatches) {
+            exchange->respond(200, {}, "{");
+            return;
+        }
         std::uint64_t after = 0;
         int waitMs = 0;
         for (const auto &[name, value] : uri.getQueryParameters()) {
