--- a/tests/registrationchecktest.cpp
+++ b/tests/registrationchecktest.cpp
@@ -68,9 +68,10 @@
     for (const std::string &key :
          { std::string("\\udcff"), std::string("\\ud83d"), std::string("\\ud83dx"),
            std::string("\xff\xc0"), std::string("\xed\xa0\x80"), std::string("\xe2\x82") }) {
-        const auto page = platform::readPage(R"({"events":[{"key":"servers/a)" + key
-                                             + R"(","value":"e30=","revision":3},)" + good
-                                             + R"(],"currentRev":9})");
+        std::string body = R"({"events":[{"key":"servers/a)";
+        body.append(key).append(R"(","value":"e30=","revision":3},)").append(good);
+        body.append(R"(],"currentRev":9})");
+        const auto page = platform::readPage(body);
         REQUIRE_MESSAGE(page, key);
         CHECK(page->currentRevision == 9);
         CHECK(page->items.size() == 2);
--- a/tests/relayservicetest.cpp
+++ b/tests/relayservicetest.cpp
@@ -52,7 +52,7 @@
                                    spans,
                                    { 1 },
                                    Millis(100),
-                                   [](HostId, AttemptResult) {},
+                                   [](HostId, const AttemptResult &) {},
                                    [](const SearcherReport &) {} };
     RelayService relay(context, published, 0, 1);
     loop.post([&relay] { relay.onSnapshot(); });
