Log that the store was restored from a copy

After a restore the store's revisions go back, and hosts list it again. In the logs this could not be told from a dropped history: QZ1106 gives the revision of the listing only. No change of behaviour.

--- a/src/process/eventlog.h
+++ b/src/process/eventlog.h
@@ -94,6 +94,8 @@
     PeerMessageDropped,
     // A host in the platform's list has invalid fields.
     HostEntryDropped,
+    // The store was restored from a copy of an earlier state.
+    StoreRestored,
 };
 
 // Severity of an event.
@@ -108,7 +110,7 @@
 };
 
 // Indexed by LogEvent.
-inline constexpr std::array<LogEventInfo, 60> logEvents = { {
+inline constexpr std::array<LogEventInfo, 61> logEvents = { {
         { 1001, "started", LogLevel::Info },
         { 1002, "ready", LogLevel::Info },
         { 1003, "not-ready", LogLevel::Warning },
@@ -169,6 +171,7 @@
         { 1113, "feed-failed", LogLevel::Error },
         { 1209, "peer-message-dropped", LogLevel::Warning },
         { 1210, "host-entry-dropped", LogLevel::Warning },
+        { 1114, "store-restored", LogLevel::Warning },
 } };
 
 // Returns the text of an exception, with that of POCO's classes in full. Quotes and control
