A restored store takes nothing back and hides nothing written since

Callers were sent to former pools, or got 404 on routes that a confirmed change had added, after the store had been restored from a copy.

Cause: revisions of the restored store, which go back and are given out again, were compared with those of before. A host listed the store without end while the store's revision was below its own, applied none of the listings' registrations, and once the store had passed its revision asked for changes after it, missing what was written up to there.

Revisions are now compared within one era of the store (Store-Era), and between eras by the era: StorePosition, packed into the number that hosts exchange. The first listing of an era is merged with what a host knows: what the copy lacks stays for as long as its writer needs to repeat it, an older state is not used, and each write since counts whatever its revision.

--- a/src/process/gatewayprocess.cpp
+++ b/src/process/gatewayprocess.cpp
@@ -26,6 +26,7 @@
 // Time without closed connections after which memory counts as relieved.
 static constexpr Millis memoryReliefTime = Millis(5000);
 static constexpr Millis purgePeriod = Millis(10'000);
+static constexpr Millis settlePeriod = Millis(250);
 // Pause before consumers of the view are told again of a change that one of them failed to take.
 static constexpr Millis viewUpdateRetryPause = Millis(1000);
 
@@ -212,6 +213,7 @@
     this->exchange->start();
     this->feed->start();
     this->purge();
+    this->settle();
     this->loop.run();
     logEvent(LogEvent::Stopped, std::string("cut_off=") + (this->cutOff ? "1" : "0"));
     return !this->cutOff;
@@ -257,7 +259,9 @@
     text << "quetzal_feed_failures_total " << feedStatus.failures << "\n";
     text << "quetzal_refused_tables " << feedStatus.refusedTables << "\n";
     text << "quetzal_tables_revision " << this->view.tablesRevision().value << "\n";
-    text << "quetzal_directory_revision " << this->view.revision() << "\n";
+    text << "quetzal_directory_revision " << this->view.position().revision << "\n";
+    text << "quetzal_directory_era " << this->view.position().era << "\n";
+    text << "quetzal_retained_entries " << this->view.retainedCount() << "\n";
     text << "quetzal_view_age_ms " << this->view.freshness().age(SteadyClock::now()).count()
          << "\n";
     text << "quetzal_searchers " << this->view.directory().liveCount() << "\n";
@@ -327,6 +331,12 @@
     this->view.purgeGone(SteadyClock::now());
 }
 
+void GatewayProcess::settle()
+{
+    this->loop.schedule(SteadyClock::now() + settlePeriod, [this] { this->settle(); });
+    this->view.settleRetained(SteadyClock::now());
+}
+
 void GatewayProcess::tick()
 {
     this->loop.schedule(SteadyClock::now() + tickPeriod, [this] { this->tick(); });
--- a/src/process/gatewayprocess.h
+++ b/src/process/gatewayprocess.h
@@ -60,6 +60,8 @@
     void tick();
     // Drops what the view no longer needs to remember, periodically.
     void purge();
+    // Gives up what the view has retained since a restore of the store, when it is time.
+    void settle();
     void stopAccepting();
     void waitForDrain();
     // Sets up the budget of bytes that all connections together may hold.
--- a/src/process/viewexchange.cpp
+++ b/src/process/viewexchange.cpp
@@ -367,7 +367,7 @@
         return std::to_string(static_cast<long>(span.count()));
     };
     return "age_ms=" + std::to_string(static_cast<int>(age.count()))
-           + " revision=" + std::to_string(this->view.revision())
+           + " revision=" + this->view.position().toString()
            + " tables=" + std::to_string(this->view.tablesRevision().value) + " store_answers="
            + (this->hooks.isStoreHealthy() ? "1" : "0") + " standby=" + (this->standby ? "1" : "0")
            + " feed=" + std::string(feedStepNames[static_cast<std::size_t>(feed.step)])
--- a/src/process/viewexchange.h
+++ b/src/process/viewexchange.h
@@ -108,6 +108,9 @@
     void tick();
     // Requests the view of a host that is ahead if the store does not deliver it soon.
     void requestViewIfBehind(Millis now);
+    // Asks some hosts for newer tables after a restore of the store, which may have lost them, or
+    // after a start of this host since.
+    void requestLostTables(Millis now);
     // Returns the hosts that claim a higher revision and are not distrusted.
     std::vector<HostId> hostsAhead(Millis now) const;
     void requestView(HostId host, Millis now);
@@ -156,6 +159,10 @@
     DistrustedClaims distrusted;
     LogLimiter refusedLog = LogLimiter(refusedLogPeriod);
     bool requestPending = false;
+    // The store's era for which other hosts have been asked for newer tables, and how many are
+    // still to be asked.
+    std::uint64_t tablesEra = 0;
+    int tableRequestsLeft = 0;
     bool standby = false;
     // The other hosts that follow the store, by id.
     std::vector<HostId> otherReaders;
--- a/src/process/viewtransfer.cpp
+++ b/src/process/viewtransfer.cpp
@@ -21,6 +21,8 @@
 // Longest time between two doubts of the feed while other hosts stay ahead.
 static constexpr Millis maxDoubtInterval = Millis(15'000);
 static constexpr Millis viewRequestTimeout = Millis(600);
+// Number of hosts that are asked for tables that a restored store may have lost.
+static constexpr int lostTableRequests = 3;
 // Time for which a host is not asked again that does not have what it claims, or whose view cannot
 // be used.
 static constexpr Millis distrustPeriod = Millis(30'000);
@@ -40,6 +42,7 @@
     const std::vector<HostId> ahead = this->hostsAhead(now);
     if (ahead.empty()) {
         this->behindSince = Millis::never();
+        this->requestLostTables(now);
         return;
     }
     const bool isNewLag = this->behindSince == Millis::never()
@@ -67,6 +70,19 @@
     this->requestView(ahead[this->random() % ahead.size()], now);
 }
 
+void ViewExchange::requestLostTables(Millis now)
+{
+    const std::uint64_t era = this->view.position().era;
+    if (era != this->tablesEra) {
+        this->tablesEra = era;
+        this->tableRequestsLeft = lostTableRequests;
+    }
+    if (this->tableRequestsLeft == 0 || this->requestPending || this->reportedMembers.empty())
+        return;
+    this->tableRequestsLeft -= 1;
+    this->requestView(this->reportedMembers[this->random() % this->reportedMembers.size()], now);
+}
+
 void ViewExchange::requestView(HostId host, Millis now)
 {
     const MemberInfo *member = this->membership.find(host);
@@ -124,14 +140,15 @@
     }
     const std::size_t entries = delta->registrations.size();
     const std::uint64_t completeRevision = delta->completeRevision;
+    bool isUsable = false;
     const bool applied = this->loop.runContained(
-            "view", [&] { this->view.applyDelta(std::move(*delta), now); });
-    if (!applied || completeRevision < claim.value)
+            "view", [&] { isUsable = this->view.applyDelta(std::move(*delta), now); });
+    if (!applied || !isUsable || completeRevision < claim.value)
         this->distrusted.add(host, claim, now + distrustPeriod);
     logEvent(LogEvent::PeerViewTaken,
              "peer=" + from + " entries=" + std::to_string(entries)
                      + " tables=" + std::to_string(this->view.tablesRevision().value)
-                     + " revision=" + std::to_string(completeRevision));
+                     + " revision=" + StorePosition::unpacked(completeRevision).toString());
 }
 
 void ViewExchange::serveView(HttpExchange &exchange)
--- a/src/request/gatewayanswers.cpp
+++ b/src/request/gatewayanswers.cpp
@@ -157,7 +157,8 @@
          << " batches=" << entry.batches.size() << " sent=" << entry.sent
          << " hedges=" << entry.hedges << " retries=" << entry.retries
          << " ms=" << (SteadyClock::now() - entry.arrivedAt).count()
-         << " tables=" << entry.tables->revision.value << " directory=" << this->view.revision();
+         << " tables=" << entry.tables->revision.value
+         << " directory=" << this->view.position().toString();
     const char *separator = " missing=";
     for (std::size_t shard = 0; shard < entry.seals.size(); ++shard) {
         if (!entry.seals[shard].empty())
--- a/src/request/trackedsearcher.cpp
+++ b/src/request/trackedsearcher.cpp
@@ -53,7 +53,8 @@
 void TrackedSearcher::update(const SearcherRegistration &newRegistration, Millis lastResortUntil,
                              Millis now)
 {
-    if (newRegistration.revision > this->currentRegistration.revision) {
+    // Revisions may go back when the registry is restored; each new one stands for a new statement.
+    if (newRegistration.revision != this->currentRegistration.revision) {
         this->replaced = false;
         // A searcher may become cold again at any moment.
         if (newRegistration.warmup > Millis())
--- a/src/version/searcherdirectory.h
+++ b/src/version/searcherdirectory.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -69,6 +70,10 @@
 //
 // A registration that ended is kept as Gone for goneRetention, so that an older report from another
 // host does not restore it.
+//
+// Revisions are those of one era of the registry. When it is restored from an older copy, what this
+// directory knows and the copy lacks or contradicts is retained until the registry reports a write
+// of it, or until the searcher has had time to write it again.
 class SearcherDirectory
 {
 public:
@@ -80,15 +85,25 @@
     bool reconcile(const std::vector<SearcherRegistration> &listing, std::uint64_t completeRevision,
                    Millis now);
 
+    // Applies the first full listing of a new era of the registry, whose revisions replace those of
+    // the former era. Returns true if the directory changed.
+    bool reconcileEra(const std::vector<SearcherRegistration> &listing,
+                      std::uint64_t completeRevision, Millis now);
+
+    // Gives up registrations that have been retained for as long as a searcher may take to write
+    // them again, in favour of what the registry holds. Returns true if the directory changed.
+    bool settleRetained(Millis now);
+
     // Records that all changes up to a revision have been applied.
     void advanceRevision(std::uint64_t completeRevision);
 
     // Returns the revision up to which every change is known.
     std::uint64_t revision() const { return this->completeRevision; }
 
-    // Returns the registrations that changed after a revision, including those that are Gone. If
-    // changes after it have already been purged, or the revision is 0, sets isFullListing. If that
-    // is set, returns all registrations that are not Gone.
+    // Returns the registrations that changed after a revision, including those that are Gone, as
+    // the registry holds them in this era. If changes after it have already been purged, or the
+    // revision is 0, sets isFullListing. If that is set, returns all registrations that are not
+    // Gone.
     std::vector<SearcherRegistration> changesSince(std::uint64_t after, bool &isFullListing) const;
 
     // Removes registrations that have been Gone for goneRetention.
@@ -99,11 +114,35 @@
     // Returns the number of registrations that are not Gone.
     std::size_t liveCount() const;
 
+    // Returns the number of registrations that differ from the restored registry.
+    std::size_t retainedCount() const { return this->retained.size(); }
+
     // Time for which a registration that ended is kept as Gone.
     static constexpr Millis goneRetention = Millis(60'000);
+    // Time after a restore for which a registration that the copy lacks is kept. A searcher that is
+    // alive registers again within that time.
+    static constexpr Millis missingRetention = Millis(3500);
+    // Time after a restore for which an older state in the copy is not used. A searcher that is not
+    // alive has lost its registration by then.
+    static constexpr Millis outdatedRetention = Millis(10'000);
 
 private:
+    // What the registry holds in place of a registration that is retained.
+    struct Retained
+    {
+        std::optional<SearcherRegistration> stored;
+        Millis until;
+    };
+
+    // Replaces the content of a record.
+    static void replace(DirectoryRecord &record, const SearcherRegistration &registration,
+                        Millis now);
+    // Returns the revision of the registry's entry of a searcher, 0 if it has none in this era.
+    std::uint64_t storedRevision(const DirectoryRecord &record) const;
+
     std::map<std::string, DirectoryRecord> byId;
+    // By id; each of them has a record.
+    std::map<std::string, Retained> retained;
     std::uint64_t completeRevision = 0;
     // Registrations that ended up to this revision may not be known: they were purged, or a listing
     // did not show them.
--- a/src/version/servingview.cpp
+++ b/src/version/servingview.cpp
@@ -45,12 +45,24 @@
                                std::uint64_t completeRevision, Millis now,
                                const std::vector<ZoneRequest> &zones, bool isFromHost)
 {
-    // The directory may not remember which registrations ended before its revision, so an older
-    // listing could restore some of them.
-    if (completeRevision < this->searcherDirectory.revision())
+    const StorePosition position = StorePosition::unpacked(completeRevision);
+    if (isFromHost && position < this->position())
         return;
-    const bool zonesChanged = this->evacuations.reconcile(zones, completeRevision, isFromHost, now);
-    this->notifyIfChanged(this->searcherDirectory.reconcile(listing, completeRevision, now)
+    if (position.era == this->era) {
+        // The directory may not remember which registrations ended before its revision, so an older
+        // listing could restore some of them.
+        if (position < this->position())
+            return;
+        const bool zonesChanged
+                = this->evacuations.reconcile(zones, position.revision, isFromHost, now);
+        this->notifyIfChanged(this->searcherDirectory.reconcile(listing, position.revision, now)
+                              || zonesChanged);
+        return;
+    }
+    this->era = position.era;
+    const bool zonesChanged
+            = this->evacuations.reconcileEra(zones, position.revision, isFromHost, now);
+    this->notifyIfChanged(this->searcherDirectory.reconcileEra(listing, position.revision, now)
                           || zonesChanged);
 }
 
@@ -64,35 +76,63 @@
 
 void ServingView::advanceRevision(std::uint64_t completeRevision)
 {
-    this->searcherDirectory.advanceRevision(completeRevision);
+    const StorePosition position = StorePosition::unpacked(completeRevision);
+    if (position.era == this->era)
+        this->searcherDirectory.advanceRevision(position.revision);
 }
 
-void ServingView::applyDelta(ViewDelta &&delta, Millis now)
+bool ServingView::applyDelta(ViewDelta &&delta, Millis now)
 {
+    const StorePosition position = StorePosition::unpacked(delta.completeRevision);
+    const bool isSameEra = position.era == this->era;
     if (delta.tables)
         this->applyTables(std::move(*delta.tables));
     if (delta.isFullListing) {
         this->applyListing(delta.registrations, delta.completeRevision, now, delta.zones, true);
-        return;
+        return true;
     }
+    if (!isSameEra)
+        return false;
     this->applyZones(delta.zones, true, now);
     this->applyRegistrations(delta.registrations, now);
     // Comes last: the revision says that everything up to it is applied.
     this->advanceRevision(delta.completeRevision);
+    return true;
 }
 
 ViewDelta ServingView::delta(std::uint64_t after, Revision tablesRevision) const
 {
+    const StorePosition since = StorePosition::unpacked(after);
     ViewDelta result;
-    result.completeRevision = this->searcherDirectory.revision();
-    result.isFullListing = after < this->evacuations.purgedUpTo();
-    result.registrations = this->searcherDirectory.changesSince(after, result.isFullListing);
-    result.zones = this->evacuations.changesSince(after, result.isFullListing);
+    result.completeRevision = this->revision();
     if (this->currentTables && this->currentTables->revision.value > tablesRevision.value)
         result.tables = *this->currentTables;
+    if (since.era > this->era)
+        return result;
+    result.isFullListing
+            = since.era != this->era || since.revision < this->evacuations.purgedUpTo();
+    result.registrations
+            = this->searcherDirectory.changesSince(since.revision, result.isFullListing);
+    result.zones = this->evacuations.changesSince(since.revision, result.isFullListing);
     return result;
 }
 
+void ServingView::settleRetained(Millis now)
+{
+    const bool zonesChanged
+            = this->evacuations.settleRetained(this->searcherDirectory.revision(), now);
+    const bool searchersChanged = this->searcherDirectory.settleRetained(now);
+    if (zonesChanged || searchersChanged)
+        this->notifyIfChanged(true);
+}
+
+void ServingView::purgeGone(Millis now)
+{
+    this->settleRetained(now);
+    this->searcherDirectory.purgeGone(now);
+    this->evacuations.purge(now, SearcherDirectory::goneRetention);
+}
+
 void ServingView::onRegistryLost(Millis now)
 {
     this->registryLost = true;
--- a/src/version/servingview.h
+++ b/src/version/servingview.h
@@ -3,6 +3,7 @@
 
 #include "version/routingtables.h"
 #include "version/searcherdirectory.h"
+#include "version/storeposition.h"
 #include "version/viewfreshness.h"
 #include "version/zoneevacuations.h"
 
@@ -16,7 +17,7 @@
 // The changes of one host's view since an earlier revision, as sent to another host.
 struct ViewDelta
 {
-    // Every change up to this revision is included.
+    // Every change up to this position, which is packed, is included.
     std::uint64_t completeRevision = 0;
     // True if the registrations are a full listing, not only what changed.
     bool isFullListing = false;
@@ -36,6 +37,10 @@
 
 // Holds the newest routing tables and the searcher directory. Neither returns to an older revision
 // while the process runs. Used on one event loop only.
+//
+// Revisions of the directory are packed positions, see StorePosition; those of single registrations
+// and zones are revisions of the view's era. After a restore of the store the view takes the
+// listing of the new era, and keeps for a while what the listing lacks or has in an older state.
 class ServingView
 {
 public:
@@ -53,7 +58,8 @@
     void applyRegistrations(const std::vector<SearcherRegistration> &registrations, Millis now);
 
     // Applies a full listing that is complete up to a revision, unless the directory is complete up
-    // to a later one.
+    // to a later one of the same era. A listing of the store in another era replaces the view's
+    // era, one of another host only if its era is later.
     // zones: the evacuated ones. isFromHost: the listing was sent by another host.
     void applyListing(const std::vector<SearcherRegistration> &listing,
                       std::uint64_t completeRevision, Millis now,
@@ -66,11 +72,12 @@
     bool isEvacuated(const std::string &zone) const { return this->evacuations.isEvacuated(zone); }
     const ZoneEvacuations &zones() const { return this->evacuations; }
 
-    // Records that every change up to a revision has been applied.
+    // Records that every change up to a revision of the view's era has been applied.
     void advanceRevision(std::uint64_t completeRevision);
 
-    // Applies the changes that another host sent.
-    void applyDelta(ViewDelta &&delta, Millis now);
+    // Applies the changes that another host sent. Returns false if they cannot be applied, because
+    // the store has shown another era or they are not the listing that a new era needs.
+    bool applyDelta(ViewDelta &&delta, Millis now);
 
     // Returns the changes for a host that has all registrations up to a revision, and routing
     // tables of a revision.
@@ -91,19 +98,25 @@
 
     const std::shared_ptr<const RoutingTables> &tables() const { return this->currentTables; }
     const SearcherDirectory &directory() const { return this->searcherDirectory; }
-    std::uint64_t revision() const { return this->searcherDirectory.revision(); }
+    StorePosition position() const { return { this->era, this->searcherDirectory.revision() }; }
+    // Returns the packed position.
+    std::uint64_t revision() const { return this->position().packed(); }
+    // Returns the number of registrations and zones that differ from the restored store.
+    std::size_t retainedCount() const
+    {
+        return this->searcherDirectory.retainedCount() + this->evacuations.retainedCount();
+    }
     Revision tablesRevision() const
     {
         return this->currentTables ? this->currentTables->revision : Revision();
     }
 
+    // Gives up what has been retained since a restore for long enough.
+    void settleRetained(Millis now);
+
     // Removes registrations that have been Gone, and zones that have been restored, for
-    // SearcherDirectory::goneRetention.
-    void purgeGone(Millis now)
-    {
-        this->searcherDirectory.purgeGone(now);
-        this->evacuations.purge(now, SearcherDirectory::goneRetention);
-    }
+    // SearcherDirectory::goneRetention. Includes settleRetained.
+    void purgeGone(Millis now);
 
 private:
     // Calls the handler if something changed, or if its last call ended with an exception.
@@ -116,6 +129,8 @@
     SearcherDirectory searcherDirectory;
     ZoneEvacuations evacuations;
     ViewFreshness viewFreshness;
+    // The store's era in which the directory's revisions are.
+    std::uint64_t era = 0;
     bool registryLost = false;
     // Until then a registration may end only because its lease could not be renewed.
     Millis registryUnstableUntil = Millis(-1e9);
--- a/tests/viewexchangetest.cpp
+++ b/tests/viewexchangetest.cpp
@@ -267,6 +267,24 @@
     CHECK(host.view.revision() == 0);
 }
 
+// Guards against a host that starts after a restore with the tables of the copy.
+TEST_CASE("tables that a restored store has lost are taken from a host that is not ahead")
+{
+    Exchange host;
+    host.view.applyListing({}, StorePosition{ 2, 5 }.packed(), SteadyClock::now());
+    OtherHost other(host, "127.0.0.2", "other");
+    ViewDelta delta;
+    delta.completeRevision = host.view.revision();
+    delta.tables.emplace();
+    delta.tables->revision = { 7 };
+    other.serve(delta);
+    other.info.revision = { host.view.revision() };
+    other.join();
+    CHECK(host.runUntil(Millis(2000), [&] { return host.view.tablesRevision().value == 7; }));
+    host.run(Millis(1500));
+    CHECK(other.requests <= 3);
+}
+
 TEST_CASE("an invalid registration in the view of another host is dropped alone")
 {
     Exchange host;
